--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Targets for developers; see README.md.
+SHELL := /bin/bash
+VENV ?= .venv
+PY := $(VENV)/bin/python
+PACKAGES := core wire node cli standins bench
+SRC := $(foreach p,$(PACKAGES),packages/$(p)/src)
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SRC)))
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: install test lint unit demo cluster
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet -r requirements.txt
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation \
+	  $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+lint: install
+	$(PY) -m black --check --quiet packages tools
+	$(PY) -m flake8 packages tools
+	$(PY) -m mypy --no-error-summary $(SRC) tools
+	$(PY) tools/check_imports.py
+
+unit: install
+	$(PY) tools/run_tests.py
+
+test: lint unit
+
+demo: install
+	$(PY) -m quetzalward_standins demo
+
+cluster: install
+	@exec $(PY) -m quetzalward_standins cluster
--- /dev/null
+++ b/packages/bench/src/quetzalward_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and measurements."""
--- /dev/null
+++ b/packages/cli/src/quetzalward_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for quetzalward operators."""
--- /dev/null
+++ b/packages/core/src/quetzalward_core/testing.py
@@ -0,0 +1,1 @@
+"""Builders of test data, shared by the tests of every package."""
--- /dev/null
+++ b/packages/node/src/quetzalward_node/__init__.py
@@ -0,0 +1,1 @@
+"""The quetzalward node."""
--- /dev/null
+++ b/packages/standins/src/quetzalward_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the platform."""
--- /dev/null
+++ b/packages/wire/src/quetzalward_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between quetzalward nodes."""
