--- a/packages/core/src/quetzalward_core/config/_codec.py
+++ b/packages/core/src/quetzalward_core/config/_codec.py
@@ -4,8 +4,8 @@
 
 import cattrs
 
-from quetzalward_core import errors
 from quetzalward_core.config import _model
+from quetzalward_core import errors
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
