--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,11 @@
 
 .PHONY: install test lint unit demo cluster
 
+ifdef SKIP_INSTALL
+install:
+else
 install: $(VENV)/.installed
+endif
 
 $(VENV)/.installed: requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	test -x $(PY) || python3 -m venv $(VENV)
