--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -62,6 +62,11 @@
     return {"output": output, "run": 1, "failed": [str(path)], "skipped": 0}
 
 
+def test_id(test: unittest.TestCase) -> str:
+    """Return a test's id; a subtest counts as the test that holds it."""
+    return getattr(test, "test_case", test).id()
+
+
 def run_child(path: str) -> None:
     """Run one test file in this process and print its counts as JSON."""
     file = pathlib.Path(path)
@@ -72,7 +77,9 @@
         str(file.parent), pattern=file.name, top_level_dir=str(tests_dir)
     )
     result = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = [test.id() for test, _ in result.failures + result.errors]
+    failed = sorted(
+        {test_id(test) for test, _ in result.failures + result.errors}
+    )
     counts = {
         "run": result.testsRun,
         "failed": failed,
