--- a/packages/core/src/quetzalward_core/config/__init__.py
+++ b/packages/core/src/quetzalward_core/config/__init__.py
@@ -10,6 +10,7 @@
 from quetzalward_core.config._diff import diff
 from quetzalward_core.config._diff import explain
 from quetzalward_core.config._diff import Explanation
+from quetzalward_core.config._diff import flatten
 from quetzalward_core.config._merge import ConfigFile
 from quetzalward_core.config._merge import merge
 from quetzalward_core.config._merge import Merged
@@ -48,6 +49,7 @@
     "check_files",
     "diff",
     "explain",
+    "flatten",
     "from_document",
     "merge",
     "require_valid",
