Log records, codec, folds and state charts

Change: typed records, strict codec, ControlState and CallState with canonical bytes, copy-on-write views, charts for group, target, node and zone. Entries are numbered from 1 inside a batch, so that position 0 can mean 'none' at the log's first offset. Conclusion: others can build on the records and views.

--- /dev/null
+++ b/packages/core/src/quetzalward_core/agreement/__init__.py
@@ -0,0 +1,101 @@
+"""Agreement through the log: records, codec, folds, snapshots and leases.
+
+`ControlState` and `CallState` fold the records of a stream; the same records
+give the same bytes on every node.
+"""
+
+from quetzalward_core.agreement._calls import CallKey
+from quetzalward_core.agreement._calls import CallState
+from quetzalward_core.agreement._calls import KeyState
+from quetzalward_core.agreement._codec import Batch
+from quetzalward_core.agreement._codec import decode_batch
+from quetzalward_core.agreement._codec import encode_batch
+from quetzalward_core.agreement._codec import Malformed
+from quetzalward_core.agreement._codec import MAX_BATCH_BYTES
+from quetzalward_core.agreement._control import ControlState
+from quetzalward_core.agreement._fold import Fold
+from quetzalward_core.agreement._model import ConfigRevision
+from quetzalward_core.agreement._model import ControlView
+from quetzalward_core.agreement._model import Drain
+from quetzalward_core.agreement._model import Group
+from quetzalward_core.agreement._model import Host
+from quetzalward_core.agreement._model import Lease
+from quetzalward_core.agreement._model import Node
+from quetzalward_core.agreement._model import ZoneState
+from quetzalward_core.agreement._records import CallAbandoned
+from quetzalward_core.agreement._records import CallIntent
+from quetzalward_core.agreement._records import CallResult
+from quetzalward_core.agreement._records import CallUnknown
+from quetzalward_core.agreement._records import ConfigProposed
+from quetzalward_core.agreement._records import Entry
+from quetzalward_core.agreement._records import GroupFormed
+from quetzalward_core.agreement._records import GroupHost
+from quetzalward_core.agreement._records import GroupStateChanged
+from quetzalward_core.agreement._records import HostAdmitted
+from quetzalward_core.agreement._records import HostRemoved
+from quetzalward_core.agreement._records import LeaseClaimed
+from quetzalward_core.agreement._records import LeaseReleased
+from quetzalward_core.agreement._records import LeaseRenewed
+from quetzalward_core.agreement._records import NodeExpired
+from quetzalward_core.agreement._records import NodeJoined
+from quetzalward_core.agreement._records import NodeLeft
+from quetzalward_core.agreement._records import SnapshotPart
+from quetzalward_core.agreement._records import TargetDrainSet
+from quetzalward_core.agreement._records import ZoneSet
+from quetzalward_core.agreement._results import Accepted
+from quetzalward_core.agreement._results import BatchResult
+from quetzalward_core.agreement._results import EntryResult
+from quetzalward_core.agreement._results import MAX_ENTRIES
+from quetzalward_core.agreement._results import offset_of
+from quetzalward_core.agreement._results import position_of
+from quetzalward_core.agreement._results import Void
+from quetzalward_core.agreement._results import VoidReason
+
+__all__ = [
+    "Accepted",
+    "Batch",
+    "BatchResult",
+    "CallAbandoned",
+    "CallIntent",
+    "CallKey",
+    "CallResult",
+    "CallState",
+    "CallUnknown",
+    "ConfigProposed",
+    "ConfigRevision",
+    "ControlState",
+    "ControlView",
+    "Drain",
+    "Entry",
+    "EntryResult",
+    "Fold",
+    "Group",
+    "GroupFormed",
+    "GroupHost",
+    "GroupStateChanged",
+    "Host",
+    "HostAdmitted",
+    "HostRemoved",
+    "KeyState",
+    "Lease",
+    "LeaseClaimed",
+    "LeaseReleased",
+    "LeaseRenewed",
+    "MAX_BATCH_BYTES",
+    "MAX_ENTRIES",
+    "Malformed",
+    "Node",
+    "NodeExpired",
+    "NodeJoined",
+    "NodeLeft",
+    "SnapshotPart",
+    "TargetDrainSet",
+    "Void",
+    "VoidReason",
+    "ZoneSet",
+    "ZoneState",
+    "decode_batch",
+    "encode_batch",
+    "offset_of",
+    "position_of",
+]
--- /dev/null
+++ b/packages/core/src/quetzalward_core/agreement/_control.py
@@ -0,0 +1,104 @@
+"""The fold of the control stream."""
+
+import typing
+
+from quetzalward_core.agreement import _codec
+from quetzalward_core.agreement import _control_rules
+from quetzalward_core.agreement import _fold
+from quetzalward_core.agreement import _model
+from quetzalward_core.agreement import _records
+from quetzalward_core.agreement import _results
+from quetzalward_core.agreement import _table
+
+_CONVERTER = _codec.make_converter()
+
+
+class ControlState(_fold.Fold):
+    """Configuration, zones, nodes, hosts, leases, groups and drains."""
+
+    stream_kind = "control"
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__()
+        self._tables = _control_rules.Tables()
+        self._view: _model.ControlView | None = None
+
+    def apply_batch(
+        self, offset: int, time_ms: int, data: str
+    ) -> _results.BatchResult | None:
+        """Apply one record; see `Fold.apply_batch`."""
+        self._view = None
+        return super().apply_batch(offset, time_ms, data)
+
+    def view(self) -> _model.ControlView:
+        """Return the current state as an immutable view."""
+        if self._view is None:
+            self._view = self._make_view()
+        return self._view
+
+    def _make_view(self) -> _model.ControlView:
+        tables = self._tables
+        return _model.ControlView(
+            next_offset=self.next_offset,
+            time_ms=self.time_ms,
+            config_revision=tables.config_revision,
+            config_document=tables.config_document,
+            config_history=tables.config_history,
+            zones_by_name=tables.zones_by_name.freeze(),
+            nodes_by_name=tables.nodes_by_name.freeze(),
+            hosts_by_id=tables.hosts_by_id.freeze(),
+            leases_by_resource=tables.leases_by_resource.freeze(),
+            groups_by_id=tables.groups_by_id.freeze(),
+            group_ids_by_host=tables.group_ids_by_host.freeze(),
+            drains_by_target=tables.drains_by_target.freeze(),
+            void_by_reason=dict(self.void_by_reason),
+            accepted_count=self.accepted_count,
+        )
+
+    def _apply_entry(
+        self, position: int, writer: str, entry: _records.Entry
+    ) -> _results.EntryResult:
+        rule = _control_rules.RULES.get(type(entry))
+        if rule is None:
+            reason: _results.VoidReason | None = (
+                _results.VoidReason.WRONG_STREAM
+            )
+        else:
+            reason = rule(self._tables, position, self.time_ms, entry)
+        if reason is None:
+            return _results.Accepted(position)
+        return _results.Void(position, reason)
+
+    def _to_document(self) -> _fold.Document:
+        tables = self._tables
+        document: _fold.Document = {
+            "config_revision": tables.config_revision,
+            "config_document": tables.config_document,
+            "config_history": _CONVERTER.unstructure(tables.config_history),
+        }
+        for name in _control_rules.CLASS_BY_TABLE:
+            table = getattr(tables, name)
+            document[name] = {
+                key: _CONVERTER.unstructure(value)
+                for key, value in table.items()
+            }
+        return document
+
+    def _from_document(self, document: _fold.Document) -> None:
+        tables = self._tables
+        tables.config_revision = int(document["config_revision"])
+        tables.config_document = dict(document["config_document"])
+        tables.config_history = tuple(
+            _CONVERTER.structure(item, _model.ConfigRevision)
+            for item in document["config_history"]
+        )
+        for name, cls in _control_rules.CLASS_BY_TABLE.items():
+            values: dict[str, typing.Any] = {
+                key: _CONVERTER.structure(value, cls)
+                for key, value in document[name].items()
+            }
+            setattr(tables, name, _table.Table(values))
+        for group in tables.groups_by_id.values():
+            for member in group.hosts:
+                tables.group_ids_by_host.set(member.host, group.group)
--- /dev/null
+++ b/packages/core/src/quetzalward_core/agreement/_control_rules.py
@@ -0,0 +1,307 @@
+"""Validity of each control record, and its effect.
+
+A rule changes the tables and returns `None`, or returns the reason why the
+record is void and changes nothing.
+"""
+
+import typing
+
+import attrs
+
+from quetzalward_core.agreement import _model
+from quetzalward_core.agreement import _records
+from quetzalward_core.agreement import _results
+from quetzalward_core.agreement import _table
+from quetzalward_core import charts
+from quetzalward_core import errors
+
+HISTORY_LENGTH = 50
+MAX_LEASE_MS = 3_600_000
+
+_GROUP_CHART = charts.load_chart("group")
+_NODE_CHART = charts.load_chart("node")
+_ZONE_CHART = charts.load_chart("zone")
+
+Reason = _results.VoidReason | None
+_Void = _results.VoidReason
+
+
+@attrs.define
+class Tables:
+    """The control state; only the rules below change it."""
+
+    config_revision: int = 0
+    config_document: dict[str, typing.Any] = attrs.field(factory=dict)
+    config_history: tuple[_model.ConfigRevision, ...] = ()
+    zones_by_name: _table.Table[str, _model.ZoneState] = attrs.field(
+        factory=_table.Table
+    )
+    nodes_by_name: _table.Table[str, _model.Node] = attrs.field(
+        factory=_table.Table
+    )
+    hosts_by_id: _table.Table[str, _model.Host] = attrs.field(
+        factory=_table.Table
+    )
+    leases_by_resource: _table.Table[str, _model.Lease] = attrs.field(
+        factory=_table.Table
+    )
+    groups_by_id: _table.Table[str, _model.Group] = attrs.field(
+        factory=_table.Table
+    )
+    # Derived from `groups_by_id`; not part of the state's bytes.
+    group_ids_by_host: _table.Table[str, str] = attrs.field(
+        factory=_table.Table
+    )
+    drains_by_target: _table.Table[str, _model.Drain] = attrs.field(
+        factory=_table.Table
+    )
+
+
+CLASS_BY_TABLE: dict[str, type] = {
+    "zones_by_name": _model.ZoneState,
+    "nodes_by_name": _model.Node,
+    "hosts_by_id": _model.Host,
+    "leases_by_resource": _model.Lease,
+    "groups_by_id": _model.Group,
+    "drains_by_target": _model.Drain,
+}
+
+
+def _config_proposed(
+    tables: Tables,
+    position: int,
+    time_ms: int,
+    entry: _records.ConfigProposed,
+) -> Reason:
+    if entry.base_revision != tables.config_revision:
+        return _Void.STALE_BASE
+    revision = _model.ConfigRevision(position, entry.operator, time_ms)
+    history = (*tables.config_history, revision)
+    tables.config_revision = position
+    tables.config_document = entry.document
+    tables.config_history = history[-HISTORY_LENGTH:]
+    return None
+
+
+def _zone_set(
+    tables: Tables, position: int, time_ms: int, entry: _records.ZoneSet
+) -> Reason:
+    zone = tables.zones_by_name.get(entry.zone)
+    current = zone.state if zone else _ZONE_CHART.initial
+    try:
+        following = _ZONE_CHART.step(current, entry.state)
+    except errors.UnknownEventError:
+        return _Void.UNKNOWN_EVENT
+    # Taking out is always valid; only a bring-back must know the last change.
+    if following == "in" and entry.basis != (zone.changed if zone else 0):
+        return _Void.STALE_BASE
+    tables.zones_by_name.set(entry.zone, _model.ZoneState(following, position))
+    return None
+
+
+def _node_joined(
+    tables: Tables, position: int, time_ms: int, entry: _records.NodeJoined
+) -> Reason:
+    fields = attrs.asdict(entry)
+    tables.nodes_by_name.set(
+        entry.name, _model.Node(**fields, joined=position)
+    )
+    return None
+
+
+def _remove_node(tables: Tables, name: str, nonce: str, event: str) -> Reason:
+    node = tables.nodes_by_name.get(name)
+    # A node that restarted has another nonce and is not meant.
+    if node is None or node.nonce != nonce:
+        return _Void.UNKNOWN_NODE
+    _NODE_CHART.step(_NODE_CHART.initial, event)
+    tables.nodes_by_name.remove(name)
+    return None
+
+
+def _node_left(
+    tables: Tables, position: int, time_ms: int, entry: _records.NodeLeft
+) -> Reason:
+    return _remove_node(tables, entry.name, entry.nonce, "leave")
+
+
+def _node_expired(
+    tables: Tables, position: int, time_ms: int, entry: _records.NodeExpired
+) -> Reason:
+    return _remove_node(tables, entry.name, entry.nonce, "expire")
+
+
+def _host_admitted(
+    tables: Tables, position: int, time_ms: int, entry: _records.HostAdmitted
+) -> Reason:
+    host = tables.hosts_by_id.get(entry.host)
+    if host is not None and host.incarnation >= entry.incarnation:
+        return _Void.STALE_EPOCH
+    tables.hosts_by_id.set(
+        entry.host, _model.Host(entry.host, entry.incarnation, position)
+    )
+    return None
+
+
+def _host_removed(
+    tables: Tables, position: int, time_ms: int, entry: _records.HostRemoved
+) -> Reason:
+    host = tables.hosts_by_id.get(entry.host)
+    if host is None or host.incarnation != entry.incarnation:
+        return _Void.UNKNOWN_HOST
+    tables.hosts_by_id.remove(entry.host)
+    return None
+
+
+def _lease_claimed(
+    tables: Tables, position: int, time_ms: int, entry: _records.LeaseClaimed
+) -> Reason:
+    if not 0 < entry.duration_ms <= MAX_LEASE_MS or not entry.holder:
+        return _Void.MALFORMED
+    lease = tables.leases_by_resource.get(entry.resource)
+    if entry.expected_renewed != (lease.renewed if lease else 0):
+        return _Void.STALE_LEASE
+    claimed = _model.Lease(
+        entry.resource, entry.holder, position, position, entry.duration_ms
+    )
+    tables.leases_by_resource.set(entry.resource, claimed)
+    return None
+
+
+def _held(
+    tables: Tables, resource: str, holder: str, epoch: int
+) -> _model.Lease | None:
+    lease = tables.leases_by_resource.get(resource)
+    if lease is None or (lease.epoch, lease.holder) != (epoch, holder):
+        return None
+    return lease
+
+
+def _lease_renewed(
+    tables: Tables, position: int, time_ms: int, entry: _records.LeaseRenewed
+) -> Reason:
+    lease = _held(tables, entry.resource, entry.holder, entry.epoch)
+    if lease is None:
+        return _Void.STALE_LEASE
+    tables.leases_by_resource.set(
+        entry.resource, attrs.evolve(lease, renewed=position)
+    )
+    return None
+
+
+def _lease_released(
+    tables: Tables, position: int, time_ms: int, entry: _records.LeaseReleased
+) -> Reason:
+    lease = _held(tables, entry.resource, entry.holder, entry.epoch)
+    if lease is None:
+        return _Void.STALE_LEASE
+    tables.leases_by_resource.remove(entry.resource)
+    return None
+
+
+def _is_current(tables: Tables, resource: str, epoch: int) -> bool:
+    lease = tables.leases_by_resource.get(resource)
+    return lease is not None and lease.epoch == epoch
+
+
+def _group_formed(
+    tables: Tables, position: int, time_ms: int, entry: _records.GroupFormed
+) -> Reason:
+    names = {member.host for member in entry.hosts}
+    if not names or len(names) != len(entry.hosts):
+        return _Void.MALFORMED
+    if not _is_current(tables, entry.lease, entry.lease_epoch):
+        return _Void.STALE_LEASE
+    if entry.group in tables.groups_by_id:
+        return _Void.GROUP_EXISTS
+    for member in entry.hosts:
+        if member.host in tables.group_ids_by_host:
+            return _Void.HOST_TAKEN
+        host = tables.hosts_by_id.get(member.host)
+        if host is None or host.incarnation != member.incarnation:
+            return _Void.UNKNOWN_HOST
+    group = _model.Group(
+        **attrs.asdict(entry, recurse=False),
+        epoch=position,
+        state=_GROUP_CHART.initial,
+        changed=position,
+    )
+    tables.groups_by_id.set(entry.group, group)
+    for member in entry.hosts:
+        tables.group_ids_by_host.set(member.host, entry.group)
+    return None
+
+
+def _group_state_changed(
+    tables: Tables,
+    position: int,
+    time_ms: int,
+    entry: _records.GroupStateChanged,
+) -> Reason:
+    group = tables.groups_by_id.get(entry.group)
+    if group is None:
+        return _Void.UNKNOWN_GROUP
+    if group.epoch != entry.epoch:
+        return _Void.STALE_EPOCH
+    if not _is_current(tables, group.lease, entry.lease_epoch):
+        return _Void.STALE_LEASE
+    try:
+        state = _GROUP_CHART.step(group.state, entry.event)
+    except errors.UnknownEventError:
+        return _Void.UNKNOWN_EVENT
+    if _GROUP_CHART.events(state):
+        changed = attrs.evolve(group, state=state, changed=position)
+        tables.groups_by_id.set(entry.group, changed)
+    else:
+        _dissolve(tables, group)
+    return None
+
+
+def _dissolve(tables: Tables, group: _model.Group) -> None:
+    tables.groups_by_id.remove(group.group)
+    tables.drains_by_target.remove(group.group)
+    for member in group.hosts:
+        tables.group_ids_by_host.remove(member.host)
+
+
+def _target_drain_set(
+    tables: Tables,
+    position: int,
+    time_ms: int,
+    entry: _records.TargetDrainSet,
+) -> Reason:
+    drain = tables.drains_by_target.get(entry.target)
+    # As with zones: a stop is always valid, a start must know the last one.
+    if not entry.draining and entry.basis != (drain.changed if drain else 0):
+        return _Void.STALE_BASE
+    tables.drains_by_target.set(
+        entry.target, _model.Drain(entry.target, entry.draining, position)
+    )
+    return None
+
+
+def _snapshot_part(
+    tables: Tables, position: int, time_ms: int, entry: _records.SnapshotPart
+) -> Reason:
+    # Assembled beside the fold: a fold that started from a later snapshot
+    # never sees the earlier parts, and both must give the same bytes.
+    return None
+
+
+Rule = typing.Callable[[Tables, int, int, typing.Any], Reason]
+RULES: dict[type, Rule] = {
+    _records.ConfigProposed: _config_proposed,
+    _records.ZoneSet: _zone_set,
+    _records.NodeJoined: _node_joined,
+    _records.NodeLeft: _node_left,
+    _records.NodeExpired: _node_expired,
+    _records.HostAdmitted: _host_admitted,
+    _records.HostRemoved: _host_removed,
+    _records.LeaseClaimed: _lease_claimed,
+    _records.LeaseRenewed: _lease_renewed,
+    _records.LeaseReleased: _lease_released,
+    _records.GroupFormed: _group_formed,
+    _records.GroupStateChanged: _group_state_changed,
+    _records.TargetDrainSet: _target_drain_set,
+    _records.SnapshotPart: _snapshot_part,
+}
--- /dev/null
+++ b/packages/core/src/quetzalward_core/agreement/_table.py
@@ -0,0 +1,60 @@
+"""Copy-on-write dictionaries."""
+
+import types
+import typing
+
+Key = typing.TypeVar("Key")
+Value = typing.TypeVar("Value")
+
+
+class Table(typing.Generic[Key, Value]):
+    """A dictionary that is copied before the first change after `freeze`.
+
+    A reader that holds a frozen mapping never sees a change, and a fold that
+    nobody reads never copies.
+    """
+
+    def __init__(self, items: dict[Key, Value] | None = None) -> None:
+        """Start with the given items; the caller gives them up."""
+        self._items: dict[Key, Value] = items if items is not None else {}
+        self._frozen: typing.Mapping[Key, Value] | None = None
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, key: Key) -> bool:
+        return key in self._items
+
+    def get(self, key: Key) -> Value | None:
+        """Return the value of a key, or `None`."""
+        return self._items.get(key)
+
+    def items(self) -> typing.ItemsView[Key, Value]:
+        """Return the current items."""
+        return self._items.items()
+
+    def values(self) -> typing.ValuesView[Value]:
+        """Return the current values."""
+        return self._items.values()
+
+    def set(self, key: Key, value: Value) -> None:
+        """Set the value of a key."""
+        self._thaw()
+        self._items[key] = value
+
+    def remove(self, key: Key) -> None:
+        """Remove a key if it is there."""
+        if key in self._items:
+            self._thaw()
+            del self._items[key]
+
+    def freeze(self) -> typing.Mapping[Key, Value]:
+        """Return a mapping with the current items that never changes."""
+        if self._frozen is None:
+            self._frozen = types.MappingProxyType(self._items)
+        return self._frozen
+
+    def _thaw(self) -> None:
+        if self._frozen is not None:
+            self._items = dict(self._items)
+            self._frozen = None
--- a/packages/core/src/quetzalward_core/errors.py
+++ b/packages/core/src/quetzalward_core/errors.py
@@ -51,6 +51,7 @@
     CONFIG_INVALID = "config_invalid"
     CONFIG_CONFLICT = "config_conflict"
     UNKNOWN_EVENT = "unknown_event"
+    MALFORMED_RECORD = "malformed_record"
     INTERNAL = "internal"
 
 
@@ -209,6 +210,13 @@
         _UNKNOWN,
         "Report this to the maintainers.",
     ),
+    ErrorKind.MALFORMED_RECORD: Answer(
+        500,
+        "Log record cannot be read",
+        False,
+        _UNKNOWN,
+        "Check that all nodes run compatible versions.",
+    ),
     ErrorKind.INTERNAL: Answer(
         500, "Internal error", False, _UNKNOWN, "Report this."
     ),
@@ -250,3 +258,15 @@
             ErrorKind.UNKNOWN_EVENT,
             f"chart {chart!r} in state {state!r} has no event {event!r}",
         )
+
+
+class LogGapError(QuetzalwardError):
+    """Records between the fold's offset and the next one are missing."""
+
+    def __init__(self, expected: int, found: int) -> None:
+        """Name the offset that the fold expected and the one it was given."""
+        super().__init__(
+            ErrorKind.LOG_UNAVAILABLE,
+            f"expected offset {expected}, found {found}; "
+            "bootstrap from a snapshot",
+        )
