--- a/packages/core/src/quetzalward_core/agreement/__init__.py
+++ b/packages/core/src/quetzalward_core/agreement/__init__.py
@@ -14,6 +14,17 @@
 from quetzalward_core.agreement._codec import MAX_BATCH_BYTES
 from quetzalward_core.agreement._control import ControlState
 from quetzalward_core.agreement._fold import Fold
+from quetzalward_core.agreement._leases import challenger_may_claim
+from quetzalward_core.agreement._leases import HeldLease
+from quetzalward_core.agreement._leases import holder_may_order
+from quetzalward_core.agreement._leases import holder_should_renew
+from quetzalward_core.agreement._leases import LEASE_DURATION_MS
+from quetzalward_core.agreement._leases import LeaseWatch
+from quetzalward_core.agreement._leases import ORDER_LIFETIME_MS
+from quetzalward_core.agreement._leases import ORDER_TIMEOUT_MS
+from quetzalward_core.agreement._leases import RENEW_INTERVAL_MS
+from quetzalward_core.agreement._leases import successor_may_order
+from quetzalward_core.agreement._leases import with_margin
 from quetzalward_core.agreement._model import ConfigRevision
 from quetzalward_core.agreement._model import ControlView
 from quetzalward_core.agreement._model import Drain
@@ -50,6 +61,11 @@
 from quetzalward_core.agreement._results import position_of
 from quetzalward_core.agreement._results import Void
 from quetzalward_core.agreement._results import VoidReason
+from quetzalward_core.agreement._snapshots import MAX_PART_CHARS
+from quetzalward_core.agreement._snapshots import PackedSnapshot
+from quetzalward_core.agreement._snapshots import Snapshot
+from quetzalward_core.agreement._snapshots import SnapshotAssembler
+from quetzalward_core.agreement._snapshots import split_snapshot
 
 __all__ = [
     "Accepted",
@@ -73,29 +89,45 @@
     "GroupFormed",
     "GroupHost",
     "GroupStateChanged",
+    "HeldLease",
     "Host",
     "HostAdmitted",
     "HostRemoved",
     "KeyState",
+    "LEASE_DURATION_MS",
     "Lease",
     "LeaseClaimed",
     "LeaseReleased",
     "LeaseRenewed",
+    "LeaseWatch",
     "MAX_BATCH_BYTES",
     "MAX_ENTRIES",
+    "MAX_PART_CHARS",
     "Malformed",
     "Node",
     "NodeExpired",
     "NodeJoined",
     "NodeLeft",
+    "ORDER_LIFETIME_MS",
+    "ORDER_TIMEOUT_MS",
+    "RENEW_INTERVAL_MS",
+    "Snapshot",
+    "PackedSnapshot",
+    "SnapshotAssembler",
     "SnapshotPart",
     "TargetDrainSet",
     "Void",
     "VoidReason",
     "ZoneSet",
     "ZoneState",
+    "challenger_may_claim",
     "decode_batch",
     "encode_batch",
+    "holder_may_order",
+    "holder_should_renew",
     "offset_of",
     "position_of",
+    "split_snapshot",
+    "successor_may_order",
+    "with_margin",
 ]
--- a/packages/core/src/quetzalward_core/agreement/_calls.py
+++ b/packages/core/src/quetzalward_core/agreement/_calls.py
@@ -2,10 +2,12 @@
 
 import enum
 import heapq
+import operator
 import typing
 
 import attrs
 
+from quetzalward_core.agreement import _codec
 from quetzalward_core.agreement import _fold
 from quetzalward_core.agreement import _records
 from quetzalward_core.agreement import _results
@@ -54,6 +56,8 @@
 
 
 _FIELDS = [field.name for field in attrs.fields(CallKey)]
+_row = operator.attrgetter(*_FIELDS)
+_ROWS_PER_PIECE = 500
 _Expiry = tuple[int, tuple[str, ...]]
 
 
@@ -221,13 +225,22 @@
         if since_ms + ABANDONED_RETENTION_MS < self.time_ms:
             del self._abandoned_ms_by_intent[intent_id]
 
-    def _to_document(self) -> _fold.Document:
-        # Rows rather than objects: a snapshot holds 100,000 keys and more.
-        rows = [
-            [getattr(known, name) for name in _FIELDS]
-            for _, known in sorted(self._keys_by_id.items())
-        ]
-        return {"keys": rows, "abandoned": self._abandoned_ms_by_intent}
+    def _copy_from(self, other: "CallState") -> None:
+        self._keys_by_id = dict(other._keys_by_id)
+        self._abandoned_ms_by_intent = dict(other._abandoned_ms_by_intent)
+        self._expiries = list(other._expiries)
+
+    def _encode_state(self) -> typing.Iterator[str]:
+        yield f'"abandoned":{_codec.to_json(self._abandoned_ms_by_intent)}'
+        # The order of the keys is that of their intents on the log, the same
+        # on every node, so no sort is needed. Rows rather than objects,
+        # because a snapshot holds 100,000 keys and more.
+        rows = [_row(known) for known in self._keys_by_id.values()]
+        chunks = (
+            _codec.to_json(rows[start : start + _ROWS_PER_PIECE])[1:-1]
+            for start in range(0, len(rows), _ROWS_PER_PIECE)
+        )
+        yield f'"keys":[{",".join(chunks)}]'
 
     def _from_document(self, document: _fold.Document) -> None:
         for row in document["keys"]:
--- a/packages/core/src/quetzalward_core/agreement/_control.py
+++ b/packages/core/src/quetzalward_core/agreement/_control.py
@@ -70,20 +70,23 @@
             return _results.Accepted(position)
         return _results.Void(position, reason)
 
-    def _to_document(self) -> _fold.Document:
+    def _copy_from(self, other: "ControlState") -> None:
+        self._tables = other._tables.copy()
+
+    def _encode_state(self) -> typing.Iterator[str]:
         tables = self._tables
-        document: _fold.Document = {
+        values: _fold.Document = {
             "config_revision": tables.config_revision,
             "config_document": tables.config_document,
             "config_history": _CONVERTER.unstructure(tables.config_history),
         }
         for name in _control_rules.CLASS_BY_TABLE:
-            table = getattr(tables, name)
-            document[name] = {
+            values[name] = {
                 key: _CONVERTER.unstructure(value)
-                for key, value in table.items()
+                for key, value in getattr(tables, name).items()
             }
-        return document
+        for name, value in sorted(values.items()):
+            yield f'"{name}":{_codec.to_json(value)}'
 
     def _from_document(self, document: _fold.Document) -> None:
         tables = self._tables
--- a/packages/core/src/quetzalward_core/agreement/_control_rules.py
+++ b/packages/core/src/quetzalward_core/agreement/_control_rules.py
@@ -56,6 +56,21 @@
         factory=_table.Table
     )
 
+    def copy(self) -> "Tables":
+        """Return tables that change independently of these."""
+        return Tables(
+            self.config_revision,
+            self.config_document,
+            self.config_history,
+            self.zones_by_name.copy(),
+            self.nodes_by_name.copy(),
+            self.hosts_by_id.copy(),
+            self.leases_by_resource.copy(),
+            self.groups_by_id.copy(),
+            self.group_ids_by_host.copy(),
+            self.drains_by_target.copy(),
+        )
+
 
 CLASS_BY_TABLE: dict[str, type] = {
     "zones_by_name": _model.ZoneState,
--- a/packages/core/src/quetzalward_core/agreement/_fold.py
+++ b/packages/core/src/quetzalward_core/agreement/_fold.py
@@ -79,7 +79,18 @@
 
     def to_bytes(self) -> bytes:
         """Return the canonical bytes of the state."""
-        document = {
+        # The encoder holds the interpreter's lock, and a state may be 20 MB;
+        # encoding in pieces lets other threads run in between.
+        pieces = [
+            f'"{name}":{_codec.to_json(value)}'
+            for name, value in sorted(self._header().items())
+        ]
+        state = ",".join(self._encode_state())
+        pieces.append(f'"state":{{{state}}}')
+        return ("{" + ",".join(pieces) + "}").encode()
+
+    def _header(self) -> Document:
+        return {
             "format": FORMAT,
             "stream_kind": self.stream_kind,
             "next_offset": self.next_offset,
@@ -90,9 +101,18 @@
                 name: [mark.seq, mark.time_ms]
                 for name, mark in self._writers.items()
             },
-            "state": self._to_document(),
         }
-        return _codec.to_json(document).encode()
+
+    def copy(self) -> typing.Self:
+        """Return an independent copy; cheap next to `to_bytes`."""
+        fold = type(self)()
+        fold.next_offset = self.next_offset
+        fold.time_ms = self.time_ms
+        fold.accepted_count = self.accepted_count
+        fold.void_by_reason = self.void_by_reason.copy()
+        fold._writers = dict(self._writers)
+        fold._copy_from(self)
+        return fold
 
     @classmethod
     def from_bytes(cls, data: bytes) -> typing.Self:
@@ -127,8 +147,12 @@
         """Apply one entry."""
 
     @abc.abstractmethod
-    def _to_document(self) -> Document:
-        """Return the state as JSON values."""
+    def _copy_from(self, other: typing.Self) -> None:
+        """Take over another fold's state without sharing what changes."""
+
+    @abc.abstractmethod
+    def _encode_state(self) -> typing.Iterator[str]:
+        """Return the members of the state's JSON object, in order."""
 
     @abc.abstractmethod
     def _from_document(self, document: Document) -> None:
@@ -158,7 +182,14 @@
             )
             for index, entry in enumerate(batch.entries)
         )
-        return _results.BatchResult(offset, batch.writer, batch.seq, results)
+        parts = tuple(
+            entry
+            for entry in batch.entries
+            if isinstance(entry, _records.SnapshotPart)
+        )
+        return _results.BatchResult(
+            offset, batch.writer, batch.seq, results, None, parts
+        )
 
     def _apply_one(
         self,
--- a/packages/core/src/quetzalward_core/agreement/_results.py
+++ b/packages/core/src/quetzalward_core/agreement/_results.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from quetzalward_core.agreement import _records
+
 MAX_ENTRIES = 1024
 
 
@@ -69,6 +71,7 @@
     """What applying one record of the log did.
 
     `void` is set, and `results` is empty, if the whole batch had no effect.
+    `snapshot_parts` are for a `SnapshotAssembler` beside the fold.
     """
 
     offset: int
@@ -76,3 +79,4 @@
     seq: int = 0
     results: tuple[EntryResult, ...] = ()
     void: VoidReason | None = None
+    snapshot_parts: tuple[_records.SnapshotPart, ...] = ()
--- a/packages/core/src/quetzalward_core/agreement/_table.py
+++ b/packages/core/src/quetzalward_core/agreement/_table.py
@@ -48,6 +48,10 @@
             self._thaw()
             del self._items[key]
 
+    def copy(self) -> "Table[Key, Value]":
+        """Return a table that changes independently of this one."""
+        return Table(dict(self._items))
+
     def freeze(self) -> typing.Mapping[Key, Value]:
         """Return a mapping with the current items that never changes."""
         if self._frozen is None:
