Interfaces of the log, the dispatcher query and the status call

Cause: groups, operators, peers and callers are written against these. Change: ControlLog, DispatcherQuery, IntentDesk and CallStatus protocols. Conclusion: fakes can implement them.

--- a/packages/node/src/quetzalward_node/interfaces.py
+++ b/packages/node/src/quetzalward_node/interfaces.py
@@ -5,11 +5,13 @@
 of the node's clock unless a name says otherwise.
 """
 
+import collections.abc
 import enum
 import typing
 
 import attrs
 
+from quetzalward_core import agreement
 from quetzalward_core import clock
 
 
@@ -156,3 +158,82 @@
 
     def mark_unknown(self, started: StartedCall) -> None:
         """Record that the call was dispatched and its outcome is unknown."""
+
+
+# Age of the log's head before this node has read it for the first time.
+HEAD_NEVER_READ_MS = 2**40
+
+
+class ControlLog(typing.Protocol):
+    """The control stream as this node reads and appends it."""
+
+    def writer(self) -> str:
+        """Return this node's writer name, which also holds its leases."""
+
+    def state(self) -> agreement.ControlView:
+        """Return the newest immutable view of the control state."""
+
+    def append(
+        self,
+        entries: collections.abc.Sequence[agreement.Entry],
+        deadline_ms: clock.Millis,
+    ) -> list[agreement.EntryResult]:
+        """Append entries in one batch and wait until they were read back.
+
+        Raises `QuetzalwardError`: log_unavailable with outcome `not_run` if
+        the entries will never be on the log, outcome_unknown if they may be.
+        """
+
+    def head_age_ms(self) -> clock.Millis:
+        """Return the time since this node last read the log's head.
+
+        It counts from when that read was sent; `HEAD_NEVER_READ_MS` before
+        the first one.
+        """
+
+    def wait_for(
+        self, position: int, deadline_ms: clock.Millis
+    ) -> agreement.ControlView | None:
+        """Wait until `state()` covers a position; `None` at the deadline."""
+
+
+class DispatcherAnswer(enum.StrEnum):
+    """What the dispatcher of an intent says about its call."""
+
+    # Dispatched or about to be; a result will follow.
+    IN_PROGRESS = "in_progress"
+    # Never dispatched; the record that frees the key is on its way.
+    ABANDONED = "abandoned"
+    # Dispatched, and its own outcome is unknown to the dispatcher.
+    UNKNOWN = "unknown"
+    # The dispatcher could not be asked.
+    UNREACHABLE = "unreachable"
+
+
+class DispatcherQuery(typing.Protocol):
+    """Asks the node that dispatched a call about it."""
+
+    def ask(self, node: str, intent_id: str) -> DispatcherAnswer:
+        """Ask the node with this writer name, within about a second.
+
+        Returns `UNREACHABLE` on any failure, and when the node's nonce is
+        not the writer's.
+        """
+
+
+class IntentDesk(typing.Protocol):
+    """The dispatcher's side of `DispatcherQuery`."""
+
+    def answer(self, intent_id: str) -> DispatcherAnswer:
+        """Tell what became of one of this process's intents."""
+
+
+class CallStatus(typing.Protocol):
+    """The status call of a service whose configuration names one."""
+
+    def ran(self, service: str, key: str) -> bool | None:
+        """Return true if the service ran the key.
+
+        `False` means that it has not run so far, which does not prove that
+        it never will; `None` that there is no status call or no answer.
+        """
