--- a/packages/core/src/quetzalward_core/agreement/_control_rules.py
+++ b/packages/core/src/quetzalward_core/agreement/_control_rules.py
@@ -90,7 +90,9 @@
 ) -> Reason:
     if entry.base_revision != tables.config_revision:
         return _Void.STALE_BASE
-    revision = _model.ConfigRevision(position, entry.operator, time_ms)
+    revision = _model.ConfigRevision(
+        position, entry.operator, time_ms, entry.publication_id
+    )
     history = (*tables.config_history, revision)
     tables.config_revision = position
     tables.config_document = entry.document
--- a/packages/core/src/quetzalward_core/agreement/_model.py
+++ b/packages/core/src/quetzalward_core/agreement/_model.py
@@ -18,6 +18,7 @@
     revision: int
     operator: str
     time_ms: int
+    publication_id: str = ""
 
 
 @attrs.frozen
--- a/packages/core/src/quetzalward_core/agreement/_records.py
+++ b/packages/core/src/quetzalward_core/agreement/_records.py
@@ -19,11 +19,16 @@
 
 @attrs.frozen
 class ConfigProposed:
-    """A whole configuration document, valid on the current revision only."""
+    """A whole configuration document, valid on the current revision only.
+
+    `publication_id` lets a publisher whose answer was lost find its proposal
+    in the history.
+    """
 
     base_revision: int
     document: dict[str, typing.Any]
     operator: str
+    publication_id: str = ""
 
 
 @attrs.frozen
--- a/packages/node/src/quetzalward_node/interfaces.py
+++ b/packages/node/src/quetzalward_node/interfaces.py
@@ -237,3 +237,28 @@
         `False` means that it has not run so far, which does not prove that
         it never will; `None` that there is no status call or no answer.
         """
+
+
+class StopOrders(typing.Protocol):
+    """Stop orders that travel directly between nodes."""
+
+    def stop_zone(self, zone: str, basis: int) -> None:
+        """Stop new work to a zone; `basis` as in `ZoneSet`."""
+
+    def stop_target(self, target: str, basis: int) -> None:
+        """Stop new work to a target; `basis` as in `TargetDrainSet`."""
+
+
+@attrs.frozen
+class PeerStatus:
+    """What this node last heard of a node, itself included."""
+
+    config_revision: int
+    heard_age_ms: clock.Millis
+
+
+class FleetView(typing.Protocol):
+    """What this node knows of the others."""
+
+    def status_by_node(self) -> collections.abc.Mapping[str, PeerStatus]:
+        """Return the last status of each node by its name."""
--- /dev/null
+++ b/packages/node/src/quetzalward_node/operators/_api.py
@@ -0,0 +1,224 @@
+"""The operators' API as plain functions of JSON documents."""
+
+import typing
+
+import attrs
+
+from quetzalward_core import agreement
+from quetzalward_core import clock
+from quetzalward_core import config
+from quetzalward_core import errors
+from quetzalward_node import interfaces
+from quetzalward_node.operators import _pending
+
+APPEND_TIMEOUT_MS = 5_000
+ZONE_STATES = ("in", "out")
+
+Json = dict[str, typing.Any]
+
+
+def _malformed(detail: str) -> errors.QuetzalwardError:
+    return errors.QuetzalwardError(errors.ErrorKind.MALFORMED_REQUEST, detail)
+
+
+def _field(body: typing.Any, name: str, kind: type) -> typing.Any:
+    value = body.get(name) if isinstance(body, dict) else None
+    # bool is a subclass of int, and a number is not a truth value.
+    if not isinstance(value, kind) or isinstance(value, bool) != (
+        kind is bool
+    ):
+        raise _malformed(f"field {name!r} must be of type {kind.__name__}")
+    return value
+
+
+@attrs.frozen
+class OperatorsApi:
+    """Reads the fold and appends what operators order."""
+
+    control: interfaces.ControlLog
+    configuration: typing.Callable[[], config.Configuration]
+    fleet: interfaces.FleetView
+    stop_orders: interfaces.StopOrders
+    pending: _pending.PendingStops
+    time: clock.Clock
+    # Rows about the targets as this node sees them, by target id.
+    targets: typing.Callable[[], dict[str, Json]]
+    not_ready: typing.Callable[[], list[str]]
+    drain: typing.Callable[[], None]
+
+    def show_config(self) -> Json:
+        """Return the configuration in force and its revision."""
+        state = self.control.state()
+        return {
+            "revision": state.config_revision,
+            "document": state.config_document,
+        }
+
+    def history(self) -> Json:
+        """Return the remembered revisions, newest last."""
+        revisions = self.control.state().config_history
+        return {"revisions": [attrs.asdict(entry) for entry in revisions]}
+
+    def publish(self, operator: str, body: typing.Any) -> Json:
+        """Propose a configuration on the revision it was based on.
+
+        Raises `QuetzalwardError`: malformed_request, config_invalid,
+        config_conflict, log_unavailable, outcome_unknown.
+        """
+        base = _field(body, "base_revision", int)
+        document = _field(body, "document", dict)
+        publication_id = body.get("publication_id", "")
+        if not isinstance(publication_id, str):
+            raise _malformed("field 'publication_id' must be of type str")
+        config.require_valid(document)
+        entry = agreement.ConfigProposed(
+            base, document, operator, publication_id
+        )
+        result = self._append(entry)
+        if isinstance(result, agreement.Accepted):
+            return {"revision": result.position}
+        current = self.control.state().config_revision
+        raise errors.QuetzalwardError(
+            errors.ErrorKind.CONFIG_CONFLICT,
+            f"based on revision {base}, but {current} is in force",
+        )
+
+    def nodes(self) -> Json:
+        """Return every node of the fold with what was last heard of it."""
+        status = self.fleet.status_by_node()
+        rows = []
+        for name, node in sorted(self.control.state().nodes_by_name.items()):
+            heard = status.get(name)
+            rows.append(
+                {
+                    "name": name,
+                    "zone": node.zone,
+                    "region": node.region,
+                    "state": "joined",
+                    "config_revision": heard.config_revision if heard else 0,
+                    "heard_age_ms": heard.heard_age_ms if heard else None,
+                    "operators_url": f"http://{node.operators}",
+                }
+            )
+        return {"nodes": rows}
+
+    def zones(self) -> Json:
+        """Return every declared zone and its state on the log."""
+        state = self.control.state()
+        rows = []
+        for name, zone in sorted(self.configuration().zones.items()):
+            value = "out" if state.zone_out(name) else "in"
+            rows.append({"zone": name, "region": zone.region, "state": value})
+        return {"zones": rows}
+
+    def set_zone(self, operator: str, zone: str, body: typing.Any) -> Json:
+        """Take a zone out at once, or bring it back through the log."""
+        value = _field(body, "state", str)
+        if value not in ZONE_STATES:
+            raise _malformed("field 'state' must be 'in' or 'out'")
+        if zone not in self.configuration().zones:
+            raise errors.QuetzalwardError(
+                errors.ErrorKind.NOT_FOUND, f"zone {zone!r} is not declared"
+            )
+        known = self.control.state().zones_by_name.get(zone)
+        basis = known.changed if known else 0
+        entry = agreement.ZoneSet(zone, value, basis, operator)
+        if value == "out":
+            self.stop_orders.stop_zone(zone, basis)
+            return {"on_log": self.pending.submit(entry)}
+        if known is None or known.state != "out":
+            return {"on_log": True}
+        return self._start(entry, f"zone {zone!r}")
+
+    def set_target(self, operator: str, target: str, body: typing.Any) -> Json:
+        """Drain a target at once, or end its drain through the log."""
+        draining = _field(body, "draining", bool)
+        state = self.control.state()
+        if target not in state.groups_by_id:
+            raise errors.QuetzalwardError(
+                errors.ErrorKind.NOT_FOUND, f"no target is named {target!r}"
+            )
+        known = state.drains_by_target.get(target)
+        basis = known.changed if known else 0
+        entry = agreement.TargetDrainSet(target, draining, basis, operator)
+        if draining:
+            self.stop_orders.stop_target(target, basis)
+            return {"on_log": self.pending.submit(entry)}
+        if known is None or not known.draining:
+            return {"on_log": True}
+        return self._start(entry, f"target {target!r}")
+
+    def list_targets(self) -> Json:
+        """Return this node's view of each target."""
+        rows = self.targets()
+        return {"targets": [{"target": k, **rows[k]} for k in sorted(rows)]}
+
+    def groups(self) -> Json:
+        """Return every serving group."""
+        state = self.control.state()
+        rows = [self._group_row(g) for g in state.groups_by_id.values()]
+        return {"groups": sorted(rows, key=lambda row: row["group"])}
+
+    def explain_group(self, group_id: str) -> Json:
+        """Return a group's record with this node's reasons about it."""
+        state = self.control.state()
+        group = state.groups_by_id.get(group_id)
+        if group is None:
+            raise errors.QuetzalwardError(
+                errors.ErrorKind.NOT_FOUND, f"no group is named {group_id!r}"
+            )
+        row = self._group_row(group)
+        row["zone_out"] = state.zone_out(group.zone)
+        row["draining"] = state.draining(group_id)
+        row["epoch"] = group.epoch
+        row.update(self.targets().get(group_id, {}))
+        return row
+
+    def status(self) -> Json:
+        """Return counts that tell whether anything is out of order."""
+        state = self.control.state()
+        groups = list(state.groups_by_id.values())
+        serving = sum(group.state == "serving" for group in groups)
+        reasons = self.not_ready()
+        return {
+            "ready": not reasons,
+            "not_ready": reasons,
+            "config_revision": state.config_revision,
+            "nodes": len(state.nodes_by_name),
+            "groups": len(groups),
+            "groups_serving": serving,
+            "zones_out": sorted(
+                name for name in state.zones_by_name if state.zone_out(name)
+            ),
+            "log_age_ms": self.control.head_age_ms(),
+            "stops_waiting_for_log": self.pending.count(),
+        }
+
+    def start_drain(self) -> Json:
+        """Stop this node gracefully."""
+        self.drain()
+        return {"draining": True}
+
+    @staticmethod
+    def _group_row(group: agreement.Group) -> Json:
+        return {
+            "group": group.group,
+            "model": group.model,
+            "zone": group.zone,
+            "domain": group.domain,
+            "state": group.state,
+            "hosts": [member.host for member in group.hosts],
+        }
+
+    def _append(self, entry: agreement.Entry) -> agreement.EntryResult:
+        deadline_ms = self.time.now_ms() + APPEND_TIMEOUT_MS
+        return self.control.append([entry], deadline_ms)[0]
+
+    def _start(self, entry: agreement.Entry, what: str) -> Json:
+        result = self._append(entry)
+        if isinstance(result, agreement.Void):
+            raise errors.QuetzalwardError(
+                errors.ErrorKind.CONFIG_CONFLICT,
+                f"{what} was changed by another operator meanwhile",
+            )
+        return {"on_log": True}
--- /dev/null
+++ b/packages/node/tests/fold_log.py
@@ -0,0 +1,44 @@
+"""A control log without network: entries go straight into the real fold."""
+
+import typing
+
+from quetzalward_core import agreement
+from quetzalward_core import errors
+
+
+class FoldLog:
+    """Implements `ControlLog` on a fold in this process."""
+
+    def __init__(self) -> None:
+        self.fold = agreement.ControlState()
+        self.available = True
+        self._seq = 0
+
+    def writer(self) -> str:
+        return "node-1:test"
+
+    def state(self) -> agreement.ControlView:
+        return self.fold.view()
+
+    def append(
+        self, entries: typing.Sequence[agreement.Entry], deadline_ms: int
+    ) -> list[agreement.EntryResult]:
+        del deadline_ms
+        if not self.available:
+            raise errors.QuetzalwardError(
+                errors.ErrorKind.LOG_UNAVAILABLE, "outage"
+            )
+        self._seq += 1
+        data = agreement.encode_batch(self.writer(), self._seq, entries)
+        result = self.fold.apply_batch(self.fold.next_offset, self._seq, data)
+        assert result is not None
+        return list(result.results)
+
+    def head_age_ms(self) -> int:
+        return 0
+
+    def wait_for(
+        self, position: int, deadline_ms: int
+    ) -> agreement.ControlView | None:
+        del position, deadline_ms
+        return self.state()
