Callers' server: OpenAI paths, plain services, streams

Cause: a node had no HTTP front; nothing could reach the dispatcher, the service router or the call registry.

Change: quetzalward_node.callers serves /v1/chat/completions, /v1/completions, /v1/models and /services/ on cheroot. Completions always stream from the engine and resume on another replica. quetzalward_core.streams holds event ids, SSE parsing and token positions. quetzalward_node.telemetry holds metrics and spans.

Failover, continuation, services and hostile input have code but no tests yet.

--- /dev/null
+++ b/packages/core/src/quetzalward_core/streams/_sse.py
@@ -0,0 +1,80 @@
+"""Server-sent events: an incremental parser and a formatter."""
+
+import attrs
+
+# An engine event holds one token; anything near this size is not an event.
+MAX_EVENT_BYTES = 262_144
+
+
+class SseError(ValueError):
+    """The bytes are not a usable event stream."""
+
+
+@attrs.frozen
+class Event:
+    """One event; `event_id` is `None` if the event carried no id."""
+
+    data: str
+    event_id: str | None = None
+
+
+@attrs.define
+class SseParser:
+    """Turns the bytes of one response into events, holding one at most."""
+
+    _pending: bytearray = attrs.field(factory=bytearray)
+    _data: list[str] = attrs.field(factory=list)
+    _event_id: str | None = None
+    _held: int = 0
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events that `data` completes.
+
+        Raises `SseError` for invalid UTF-8 and for an event over
+        `MAX_EVENT_BYTES`.
+        """
+        self._pending += data
+        events = []
+        while (end := self._pending.find(b"\n")) >= 0:
+            line = bytes(self._pending[:end])
+            del self._pending[: end + 1]
+            event = self._take_line(line.removesuffix(b"\r"))
+            if event is not None:
+                events.append(event)
+        if len(self._pending) + self._held > MAX_EVENT_BYTES:
+            raise SseError(f"event larger than {MAX_EVENT_BYTES} bytes")
+        return events
+
+    def _take_line(self, line: bytes) -> Event | None:
+        if not line:
+            return self._end_event()
+        try:
+            text = line.decode()
+        except UnicodeDecodeError as error:
+            raise SseError("event is not UTF-8") from error
+        self._held += len(line)
+        if self._held > MAX_EVENT_BYTES:
+            raise SseError(f"event larger than {MAX_EVENT_BYTES} bytes")
+        field, _, value = text.partition(":")
+        value = value.removeprefix(" ")
+        if field == "data":
+            self._data.append(value)
+        elif field == "id":
+            self._event_id = value
+        return None
+
+    def _end_event(self) -> Event | None:
+        event = None
+        if self._data:
+            event = Event("\n".join(self._data), self._event_id)
+        self._data = []
+        self._event_id = None
+        self._held = 0
+        return event
+
+
+def format_event(data: str, event_id: str) -> bytes:
+    """Return the bytes of an event; `data` must hold no line break."""
+    if "\n" in data or "\r" in data:
+        raise ValueError("event data must be a single line")
+    return f"id: {event_id}\ndata: {data}\n\n".encode()
--- /dev/null
+++ b/packages/node/src/quetzalward_node/callers/_engine.py
@@ -0,0 +1,278 @@
+"""One attempt to get a completion from one engine."""
+
+import json
+import typing
+
+import attrs
+
+from quetzalward_core import clock as clocks
+from quetzalward_core import config
+from quetzalward_core import errors
+from quetzalward_core import streams
+from quetzalward_node.callers import _chunks
+from quetzalward_node.callers import _targets
+from quetzalward_node.callers import _watch
+from quetzalward_node import interfaces
+
+MAX_ERROR_BYTES = 65_536
+MAX_DETAIL_CHARS = 500
+# The engine looked at the request and did not start it.
+_REFUSALS = frozenset((404, 409, 425, 429, 503))
+# The request itself is at fault; another replica would say the same.
+_CALLER_FAULTS = frozenset((400, 413, 422))
+
+
+class AttemptFailedError(Exception):
+    """An attempt ended without a complete answer.
+
+    `sent` tells whether the engine may have started; `error` is what the
+    caller is told if there is no further attempt; `final` forbids one.
+    """
+
+    def __init__(
+        self,
+        result: interfaces.AttemptResult,
+        error: errors.QuetzalwardError,
+        sent: bool,
+        final: bool = False,
+    ) -> None:
+        """Describe the failure."""
+        super().__init__(error.detail)
+        self.result = result
+        self.error = error
+        self.sent = sent
+        self.final = final
+
+
+def _failed(detail: str, sent: bool = True) -> AttemptFailedError:
+    error = errors.QuetzalwardError(errors.ErrorKind.TARGET_FAILED, detail)
+    return AttemptFailedError(interfaces.AttemptResult.FAILED, error, sent)
+
+
+def _timed_out(detail: str) -> AttemptFailedError:
+    error = errors.QuetzalwardError(errors.ErrorKind.TARGET_TIMEOUT, detail)
+    return AttemptFailedError(interfaces.AttemptResult.TIMED_OUT, error, True)
+
+
+@attrs.frozen
+class EngineRequest:
+    """What one attempt sends."""
+
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    # Id that the engine knows the attempt by.
+    attempt_id: str
+
+
+@attrs.define(eq=False)
+class EngineAttempt:
+    """Sends a request to the engine of a grant and yields its chunks."""
+
+    grant: interfaces.Grant
+    request: EngineRequest
+    limits: config.Limits
+    connections: _targets.TargetConnections
+    clock: clocks.Clock
+    interruption: _watch.Interruption
+    sent: bool = False
+    tokens: int = 0
+    first_token_ms: float | None = None
+    # Time spent waiting for tokens after the first one, and for the last.
+    token_wait_ms: float = 0.0
+    last_wait_ms: float | None = None
+    # Time waited since the last token; time in which the caller's slow
+    # reading held the worker up is not the engine's.
+    _waited_ms: float = 0.0
+    _connection: _targets.TargetConnection | None = None
+    _parser: streams.SseParser = attrs.field(factory=streams.SseParser)
+
+    def chunks(self) -> typing.Iterator[_chunks.Chunk]:
+        """Yield the chunks until the terminal `[DONE]`.
+
+        Raises `AttemptFailedError`.
+        """
+        connection = self._open()
+        started_ms = self.clock.now_ms()
+        try:
+            status = self._send(connection)
+        except AttemptFailedError as error:
+            stale = connection.reused and self.interruption.cause is None
+            if (
+                error.result is not interfaces.AttemptResult.FAILED
+                or not stale
+            ):
+                raise
+            # The engine may have closed the kept connection while it was
+            # idle, which says nothing about the engine.
+            self.close()
+            connection = self._open(fresh=True)
+            status = self._send(connection)
+        self._waited_ms = self.clock.now_ms() - started_ms
+        if status != 200:
+            raise self._refusal(connection, status)
+        while True:
+            data = self._read(connection)
+            if not data:
+                raise _failed("the stream ended before the answer was whole")
+            for chunk in self._parse(data):
+                if chunk is None:
+                    self._finish_reading(connection)
+                    return
+                yield chunk
+
+    def note_token(self) -> None:
+        """Account for a token of the chunk that was yielded last."""
+        if self.tokens == 0:
+            self.first_token_ms = self._waited_ms
+        else:
+            self.token_wait_ms += self._waited_ms
+            self.last_wait_ms = self._waited_ms
+        self.tokens += 1
+        self._waited_ms = 0
+
+    def close(self) -> None:
+        """Return the connection if its answer is complete, or close it."""
+        self.interruption.attach(None)
+        if self._connection is not None:
+            self.connections.give_back(self._connection)
+            self._connection = None
+
+    def report(
+        self, result: interfaces.AttemptResult
+    ) -> interfaces.AttemptReport:
+        """Return the measurements of the attempt."""
+        token_ms = None
+        if self.tokens > 1:
+            token_ms = self.token_wait_ms / (self.tokens - 1)
+        return interfaces.AttemptReport(
+            result=result,
+            tokens=self.tokens,
+            first_token_ms=self.first_token_ms,
+            token_ms=token_ms,
+        )
+
+    def _open(self, fresh: bool = False) -> _targets.TargetConnection:
+        try:
+            connection = self.connections.open(self.grant.url, fresh)
+        except _targets.NotConnectedError as error:
+            raise _failed(f"cannot connect to {error}", sent=False) from error
+        self._connection = connection
+        self.interruption.attach(connection.sock)
+        return connection
+
+    def _send(self, connection: _targets.TargetConnection) -> int:
+        self.sent = True
+        try:
+            response = connection.send(
+                "POST",
+                self.request.path,
+                self.request.headers,
+                self.request.body,
+                self.limits.first_token_timeout_ms,
+            )
+        except _targets.TargetTimeoutError as error:
+            raise _timed_out("the engine sent no answer in time") from error
+        except _targets.TargetBrokenError as error:
+            raise _failed("the connection to the engine broke") from error
+        echoed = response.headers.get("X-Request-Id")
+        if echoed is not None and echoed != self.request.attempt_id:
+            raise _failed("the engine answered another request")
+        media = response.headers.get("Content-Type") or ""
+        if response.status == 200 and "text/event-stream" not in media:
+            raise _failed("the engine's answer is not an event stream")
+        return int(response.status)
+
+    def _read(self, connection: _targets.TargetConnection) -> bytes:
+        timeout_ms = self.limits.token_timeout_ms
+        if self.tokens == 0:
+            timeout_ms = self.limits.first_token_timeout_ms
+        remaining_ms = timeout_ms - self._waited_ms
+        if remaining_ms <= 0:
+            raise _timed_out(f"no token within {timeout_ms} ms")
+        started_ms = self.clock.now_ms()
+        try:
+            return connection.read(round(remaining_ms))
+        except _targets.TargetTimeoutError as error:
+            raise _timed_out(f"no token within {timeout_ms} ms") from error
+        except _targets.TargetBrokenError as error:
+            raise _failed("the connection to the engine broke") from error
+        finally:
+            self._waited_ms += self.clock.now_ms() - started_ms
+
+    def _parse(self, data: bytes) -> typing.Iterator[_chunks.Chunk | None]:
+        try:
+            for event in self._parser.feed(data):
+                yield _chunks.parse(event)
+        except (streams.SseError, _chunks.ChunkError) as error:
+            raise _failed(str(error)) from error
+
+    def _finish_reading(self, connection: _targets.TargetConnection) -> None:
+        """Read the end of the body, so that the connection can be reused."""
+        try:
+            while connection.read(self.limits.token_timeout_ms):
+                pass
+        except (_targets.TargetTimeoutError, _targets.TargetBrokenError):
+            # The answer is whole; only the connection is lost.
+            connection.close()
+
+    def _refusal(
+        self, connection: _targets.TargetConnection, status: int
+    ) -> AttemptFailedError:
+        document = self._error_document(connection)
+        detail = f"the engine answered {status}"
+        if status in _CALLER_FAULTS:
+            error = errors.QuetzalwardError(
+                errors.ErrorKind.MALFORMED_REQUEST,
+                f"{detail}: {_message(document)}"[:MAX_DETAIL_CHARS],
+            )
+            return AttemptFailedError(
+                interfaces.AttemptResult.OK, error, sent=False, final=True
+            )
+        if status in _REFUSALS:
+            cold = _is_cold(document)
+            result = interfaces.AttemptResult.REFUSED
+            if cold:
+                result = interfaces.AttemptResult.COLD
+            error = errors.QuetzalwardError(
+                errors.ErrorKind.OVERLOADED, detail, retry_after_ms=1_000
+            )
+            return AttemptFailedError(result, error, sent=False)
+        return _failed(detail)
+
+    def _error_document(
+        self, connection: _targets.TargetConnection
+    ) -> dict[str, typing.Any]:
+        body = b""
+        try:
+            while len(body) < MAX_ERROR_BYTES:
+                data = connection.read(self.limits.token_timeout_ms)
+                if not data:
+                    break
+                body += data
+            document = json.loads(body)
+        except (
+            _targets.TargetTimeoutError,
+            _targets.TargetBrokenError,
+            ValueError,
+            RecursionError,
+        ):
+            return {}
+        return document if isinstance(document, dict) else {}
+
+
+def _message(document: dict[str, typing.Any]) -> str:
+    error = document.get("error")
+    if isinstance(error, dict):
+        error = error.get("message")
+    found = error or document.get("detail") or "no reason given"
+    return found if isinstance(found, str) else "no reason given"
+
+
+def _is_cold(document: dict[str, typing.Any]) -> bool:
+    """Return whether a refusal says that the target is in cold start."""
+    error = document.get("error")
+    names = [document.get("state"), document.get("kind"), error]
+    if isinstance(error, dict):
+        names += [error.get("code"), error.get("type")]
+    return "cold" in names
--- /dev/null
+++ b/packages/node/src/quetzalward_node/callers/_service_attempt.py
@@ -0,0 +1,237 @@
+"""One attempt to pass a call to one replica of a plain service."""
+
+import typing
+
+import attrs
+from opentelemetry import trace
+import urllib3
+
+from quetzalward_core import clock as clocks
+from quetzalward_core import config
+from quetzalward_core import errors
+from quetzalward_node.callers import _connection
+from quetzalward_node.callers import _hops
+from quetzalward_node.callers import _meters
+from quetzalward_node.callers import _targets
+from quetzalward_node.callers import _watch
+from quetzalward_node import interfaces
+from quetzalward_node import telemetry
+
+# An answer up to this size is complete before the caller gets any of it.
+BUFFER_BYTES = 262_144
+
+
+@attrs.frozen
+class Parts:
+    """What all calls share."""
+
+    router: interfaces.ServiceRouter
+    calls: interfaces.CallRegistry
+    may_retry: typing.Callable[[], bool]
+    connections: _targets.TargetConnections
+    clock: clocks.Clock
+    tracing: telemetry.Tracing
+    meters: _meters.Meters
+
+
+@attrs.frozen
+class ServiceRequest:
+    """A checked call; `path` and `query` are the service's."""
+
+    request_id: str
+    customer: str
+    name: str
+    service: config.Service
+    exchange: _connection.Exchange
+    path: str
+    query: str
+    repeatable: bool
+    key: str | None
+    # Set only for calls that may be given up when the caller leaves.
+    interruption: _watch.Interruption | None
+    span: trace.Span
+
+    @property
+    def target(self) -> str:
+        """Return path and query as sent to the service."""
+        return self.path + (f"?{self.query}" if self.query else "")
+
+
+@attrs.frozen
+class ServiceAnswer:
+    """An answer of a service, or its beginning."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    length: str | None
+    # The first `BUFFER_BYTES` or everything.
+    body: bytes
+    complete: bool
+
+    @property
+    def content_type(self) -> str:
+        """Return the media type, empty if there is none."""
+        for name, value in self.headers:
+            if name.lower() == "content-type":
+                return value
+        return ""
+
+
+class CallFailedError(Exception):
+    """An attempt failed; `status` is set once the service had answered."""
+
+    def __init__(
+        self,
+        error: errors.QuetzalwardError,
+        sent: bool,
+        status: int | None = None,
+        answer: ServiceAnswer | None = None,
+    ) -> None:
+        """Describe the failure."""
+        super().__init__(error.detail)
+        self.error = error
+        self.sent = sent
+        self.status = status
+        # An answer to pass on if there is no further attempt.
+        self.answer = answer
+
+
+@attrs.define(eq=False)
+class ServiceAttempt:
+    """One attempt; `end` releases its grant once."""
+
+    parts: Parts
+    request: ServiceRequest
+    grant: interfaces.Grant
+    span: trace.Span
+    deadline_ms: clocks.Millis
+    # True from just before the first byte is sent.
+    sent: bool = False
+    _status: int | None = None
+    _connection: _targets.TargetConnection | None = None
+    _ended: bool = False
+
+    def fetch(self) -> ServiceAnswer:
+        """Send the call and read the first part of the answer.
+
+        Raises `CallFailedError`.
+        """
+        connection = self._open()
+        exchange = self.request.exchange
+        self.sent = True
+        try:
+            response = connection.send(
+                exchange.method,
+                self.request.target,
+                self._headers(),
+                exchange.body or None,
+                self._remaining_ms(),
+            )
+        except _targets.TargetTimeoutError as error:
+            raise self._failure(True) from error
+        except _targets.TargetBrokenError as error:
+            raise self._failure(False) from error
+        self._status = response.status
+        body = self._read_start(connection)
+        return ServiceAnswer(
+            response.status,
+            _hops.response_headers(response.headers.items()),
+            response.headers.get("Content-Length"),
+            body,
+            len(body) < BUFFER_BYTES,
+        )
+
+    def rest(self) -> typing.Iterator[bytes]:
+        """Yield the parts of the answer after the first.
+
+        Raises `CallFailedError`.
+        """
+        connection = self._connection
+        while connection is not None:
+            try:
+                data = connection.read(self._remaining_ms())
+            except (
+                _targets.TargetTimeoutError,
+                _targets.TargetBrokenError,
+            ) as error:
+                raise self._failure(False) from error
+            if not data:
+                return
+            yield data
+
+    def end(self, result: interfaces.AttemptResult) -> None:
+        """Release the grant and the connection."""
+        if self._ended:
+            return
+        self._ended = True
+        try:
+            report = interfaces.AttemptReport(result)
+            self.parts.router.release(self.grant, report)
+        finally:
+            self.parts.meters.attempts.add(result.value)
+            self.span.set_attribute("result", result.value)
+            self.span.end()
+            self._attach(None)
+            if self._connection is not None:
+                self.parts.connections.give_back(self._connection)
+
+    def _open(self) -> _targets.TargetConnection:
+        try:
+            # On a kept connection a failure to send would leave open whether
+            # the call ran.
+            connection = self.parts.connections.open(
+                self.grant.url, fresh=not self.request.repeatable
+            )
+        except _targets.NotConnectedError as error:
+            failed = errors.QuetzalwardError(
+                errors.ErrorKind.TARGET_FAILED,
+                f"cannot connect to {error}",
+                outcome=errors.Outcome.NOT_RUN,
+            )
+            raise CallFailedError(failed, sent=False) from error
+        self._connection = connection
+        self._attach(connection)
+        return connection
+
+    def _attach(self, connection: _targets.TargetConnection | None) -> None:
+        if self.request.interruption is not None:
+            sock = connection.sock if connection is not None else None
+            self.request.interruption.attach(sock)
+
+    def _headers(self) -> urllib3.HTTPHeaderDict:
+        headers = urllib3.HTTPHeaderDict()
+        given = self.request.exchange.head.headers
+        for name, value in _hops.request_headers(given):
+            headers.add(name, value)
+        headers["X-Request-Id"] = self.request.request_id
+        headers[_hops.CUSTOMER_HEADER] = self.request.customer
+        for name, value in self.parts.tracing.headers(self.span).items():
+            headers[name] = value
+        return headers
+
+    def _read_start(self, connection: _targets.TargetConnection) -> bytes:
+        body = bytearray()
+        try:
+            while len(body) < BUFFER_BYTES:
+                data = connection.read(self._remaining_ms())
+                if not data:
+                    break
+                body += data
+        except _targets.TargetTimeoutError as error:
+            raise self._failure(True) from error
+        except _targets.TargetBrokenError as error:
+            raise self._failure(False) from error
+        return bytes(body)
+
+    def _remaining_ms(self) -> int:
+        return max(1, self.deadline_ms - self.parts.clock.now_ms())
+
+    def _failure(self, timed_out: bool) -> CallFailedError:
+        kind = errors.ErrorKind.TARGET_FAILED
+        detail = "the connection to the service broke"
+        if timed_out:
+            kind = errors.ErrorKind.TARGET_TIMEOUT
+            detail = "the service did not answer in time"
+        outcome = None if self._status is None else errors.Outcome.RAN
+        error = errors.QuetzalwardError(kind, detail, outcome=outcome)
+        return CallFailedError(error, sent=True, status=self._status)
--- /dev/null
+++ b/packages/node/src/quetzalward_node/callers/_stream.py
@@ -0,0 +1,343 @@
+"""The run of one completion request over as many attempts as it takes."""
+
+import typing
+
+import attrs
+from opentelemetry import trace
+
+from quetzalward_core import clock as clocks
+from quetzalward_core import config
+from quetzalward_core import errors
+from quetzalward_core import streams
+from quetzalward_node.callers import _answers
+from quetzalward_node.callers import _cancels
+from quetzalward_node.callers import _chunks
+from quetzalward_node.callers import _drafts
+from quetzalward_node.callers import _engine
+from quetzalward_node.callers import _exceptions
+from quetzalward_node.callers import _meters
+from quetzalward_node.callers import _targets
+from quetzalward_node.callers import _watch
+from quetzalward_node import interfaces
+from quetzalward_node import telemetry
+
+_Result = interfaces.AttemptResult
+# Results after which the engine may still be working on the attempt.
+_TO_CANCEL = frozenset((_Result.CANCELLED, _Result.TIMED_OUT, _Result.FAILED))
+
+
+@attrs.frozen
+class Parts:
+    """What all requests share."""
+
+    dispatcher: interfaces.Dispatcher
+    connections: _targets.TargetConnections
+    canceller: _cancels.Canceller
+    clock: clocks.Clock
+    tracing: telemetry.Tracing
+    meters: _meters.Meters
+
+
+@attrs.frozen
+class _AttemptSpans:
+    attempt: trace.Span
+    target: trace.Span
+
+    def end(self, result: str) -> None:
+        """End both spans."""
+        self.target.end()
+        self.attempt.set_attribute("result", result)
+        self.attempt.end()
+
+
+@attrs.define(eq=False)
+class DraftRun:
+    """Gets one answer to the caller, resuming on other replicas.
+
+    Every acquired grant is released once, and the request is finished once.
+    """
+
+    parts: Parts
+    draft: _drafts.Draft
+    # The template of every attempt's route request.
+    route: interfaces.RouteRequest
+    limits: config.Limits
+    seed: int
+    sink: _answers.Sink
+    start: streams.Position
+    interruption: _watch.Interruption
+    span: trace.Span
+    _positions: streams.TokenPositions = attrs.field(
+        factory=streams.TokenPositions
+    )
+    _phase: streams.Phase = streams.Phase.NOTHING
+    _excluded: frozenset[str] = frozenset()
+    _usage: dict[str, typing.Any] | None = None
+    _may_have_run: bool = False
+    _last_error: errors.QuetzalwardError | None = None
+
+    def run(self) -> errors.QuetzalwardError | None:
+        """Answer the request; returns the error that the sink was told of.
+
+        Raises `CallerGoneError` if the caller left.
+        """
+        self._positions.sent = self.start.index
+        self._phase = self.start.phase
+        try:
+            self._run_attempts()
+            self.sink.finish(self._position, self._final_usage())
+        except errors.QuetzalwardError as error:
+            self.sink.fail(self._position, error)
+            return error
+        return None
+
+    @property
+    def _position(self) -> streams.Position:
+        return streams.Position(self._positions.sent, self._phase)
+
+    def _run_attempts(self) -> None:
+        if self._complete_without_engine():
+            return
+        try:
+            while not self._run_attempt():
+                self._raise_if_interrupted()
+                if not self.parts.dispatcher.may_retry():
+                    raise self._give_up()
+                self.parts.meters.retries.add("drafts")
+        finally:
+            self.parts.dispatcher.finish(self.route.request_id)
+
+    def _complete_without_engine(self) -> bool:
+        """Return whether the caller already has all that an engine sends."""
+        if self.start.phase >= streams.Phase.USAGE:
+            return True
+        finished = self.start.phase >= streams.Phase.FINISH
+        return finished and not self.draft.include_usage
+
+    def _run_attempt(self) -> bool:
+        """Run one attempt; true if the answer is complete."""
+        number = self._positions.begin_attempt()
+        grant = self._acquire(number)
+        result = _Result.FAILED
+        attempt = None
+        spans = self._start_spans(grant)
+        try:
+            attempt = self._engine_attempt(grant, spans.target)
+            self._relay(attempt, number)
+            result = _Result.OK
+            return True
+        except _engine.AttemptFailedError as failure:
+            result = self._note_failure(failure)
+            if failure.final:
+                raise failure.error from failure
+            return False
+        except _exceptions.CallerGoneError:
+            result = _Result.CANCELLED
+            raise
+        finally:
+            self._end_attempt(grant, attempt, result, spans)
+
+    def _acquire(self, number: int) -> interfaces.Grant:
+        request = attrs.evolve(
+            self.route, excluded=self._excluded, attempt=number
+        )
+        self._raise_if_interrupted()
+        queue_span = self.parts.tracing.child(self.span, "queue")
+        try:
+            grant = self.parts.dispatcher.acquire(request)
+        except errors.QuetzalwardError as error:
+            queue_span.set_attribute("error.kind", error.kind.value)
+            if self._last_error is None:
+                raise
+            # The first failure tells more than the lack of another target.
+            raise self._give_up() from error
+        finally:
+            queue_span.end()
+        route_span = self.parts.tracing.child(
+            self.span,
+            "route",
+            {"target": grant.target_id, "zone": grant.zone},
+        )
+        route_span.end()
+        return grant
+
+    def _start_spans(self, grant: interfaces.Grant) -> _AttemptSpans:
+        tracing = self.parts.tracing
+        attempt = tracing.child(
+            self.span,
+            "attempt",
+            {
+                "attempt": self._positions.attempt,
+                "target": grant.target_id,
+                "resume_from": self._positions.sent,
+            },
+        )
+        target = tracing.child(
+            attempt, "target", {"url": grant.url}, client=True
+        )
+        return _AttemptSpans(attempt, target)
+
+    def _engine_attempt(
+        self, grant: interfaces.Grant, span: trace.Span
+    ) -> _engine.EngineAttempt:
+        attempt_id = f"{self.route.request_id}.{self._positions.attempt}"
+        headers = {
+            "Content-Type": "application/json",
+            "Accept": "text/event-stream",
+            "X-Request-Id": attempt_id,
+            **self.parts.tracing.headers(span),
+        }
+        body = _drafts.engine_body(
+            self.draft, self.seed, self.route.priority, self._positions.sent
+        )
+        request = _engine.EngineRequest(
+            self.draft.endpoint.value, headers, body, attempt_id
+        )
+        return _engine.EngineAttempt(
+            grant,
+            request,
+            self.limits,
+            self.parts.connections,
+            self.parts.clock,
+            self.interruption,
+        )
+
+    def _relay(self, attempt: _engine.EngineAttempt, number: int) -> None:
+        """Pass on the chunks of an attempt until its answer is complete."""
+        try:
+            for chunk in attempt.chunks():
+                self._relay_chunk(attempt, number, chunk)
+        except streams.ForeignFrameError as error:
+            raise _engine.AttemptFailedError(
+                _Result.FAILED,
+                errors.QuetzalwardError(
+                    errors.ErrorKind.TARGET_FAILED, str(error)
+                ),
+                sent=True,
+            ) from error
+        except _engine.AttemptFailedError:
+            if self._phase < streams.Phase.FINISH:
+                raise
+            # Every token and the finish were sent; only the usage or the
+            # terminal event is missing, and the node knows both.
+        if self._phase < streams.Phase.FINISH:
+            raise _engine.AttemptFailedError(
+                _Result.FAILED,
+                errors.QuetzalwardError(
+                    errors.ErrorKind.TARGET_FAILED,
+                    "the engine ended the stream without a finish reason",
+                ),
+                sent=True,
+            )
+
+    def _relay_chunk(
+        self,
+        attempt: _engine.EngineAttempt,
+        number: int,
+        chunk: _chunks.Chunk,
+    ) -> None:
+        self._positions.check_answer(number, chunk.answer_id)
+        if chunk.usage is not None:
+            self._usage = chunk.usage
+        if not chunk.has_choice or self._phase >= streams.Phase.FINISH:
+            return
+        if chunk.is_token:
+            attempt.note_token()
+            verdict = self._positions.take(number, chunk.numbered)
+            if verdict is streams.Verdict.DROP:
+                return
+            self._note_token(attempt)
+            phase = streams.Phase.TOKENS
+        elif chunk.finishes:
+            phase = streams.Phase.FINISH
+        elif self._phase >= streams.Phase.START or self._positions.sent:
+            # A resumed answer starts with the role once more.
+            return
+        else:
+            phase = streams.Phase.START
+        self._phase = streams.Phase.FINISH if chunk.finishes else phase
+        self.sink.send(self._position, chunk)
+
+    def _note_token(self, attempt: _engine.EngineAttempt) -> None:
+        meters = self.parts.meters
+        model = self.route.model
+        meters.tokens.add(model)
+        if self._positions.sent == self.start.index + 1:
+            waited_ms = self.parts.clock.now_ms() - self.route.arrived_ms
+            meters.first_token_ms.observe_ms(waited_ms, model)
+        elif attempt.last_wait_ms is not None:
+            meters.inter_token_ms.observe_ms(attempt.last_wait_ms, model)
+
+    def _note_failure(self, failure: _engine.AttemptFailedError) -> _Result:
+        """Record a failed attempt and return its result as evidence."""
+        self._may_have_run = self._may_have_run or failure.sent
+        self._last_error = failure.error
+        if self.interruption.cause is not None:
+            return _Result.CANCELLED
+        return failure.result
+
+    def _end_attempt(
+        self,
+        grant: interfaces.Grant,
+        attempt: _engine.EngineAttempt | None,
+        result: _Result,
+        spans: _AttemptSpans,
+    ) -> None:
+        """Release the grant; must not raise before it has done so."""
+        report = interfaces.AttemptReport(result)
+        if attempt is not None:
+            report = attempt.report(result)
+        try:
+            self.parts.dispatcher.release(grant, report)
+        finally:
+            self._excluded |= {grant.target_id}
+            self.parts.meters.attempts.add(result.value)
+            spans.end(result.value)
+            if attempt is not None:
+                attempt.close()
+                if attempt.sent and result in _TO_CANCEL:
+                    attempt_id = attempt.request.attempt_id
+                    self.parts.canceller.cancel(grant.url, attempt_id)
+
+    def _raise_if_interrupted(self) -> None:
+        cause = self.interruption.cause
+        if cause is None:
+            return
+        if cause is _watch.Cause.CALLER_GONE:
+            raise _exceptions.CallerGoneError("the caller left")
+        kind = errors.ErrorKind.DEADLINE_UNREACHABLE
+        if cause is _watch.Cause.STOPPING:
+            kind = errors.ErrorKind.NODE_STOPPING
+        elif self._may_have_run:
+            kind = errors.ErrorKind.TARGET_TIMEOUT
+        outcome = errors.Outcome.NOT_RUN
+        if self._may_have_run:
+            outcome = errors.Outcome.UNKNOWN
+        raise errors.QuetzalwardError(
+            kind, "the request was ended early", outcome=outcome
+        )
+
+    def _give_up(self) -> errors.QuetzalwardError:
+        """Return the last error, with what is known of all attempts."""
+        self._raise_if_interrupted()
+        error = self._last_error
+        if error is None:
+            raise AssertionError("no attempt has failed")
+        outcome = errors.Outcome.NOT_RUN
+        if self._may_have_run:
+            outcome = errors.Outcome.UNKNOWN
+        return errors.QuetzalwardError(
+            error.kind, error.detail, error.retry_after_ms, outcome
+        )
+
+    def _final_usage(self) -> dict[str, typing.Any]:
+        given = self._usage or {}
+        prompt = given.get("prompt_tokens")
+        prompt = prompt if isinstance(prompt, int) else 0
+        sent = self._positions.sent
+        return {
+            **given,
+            "prompt_tokens": prompt,
+            "completion_tokens": sent,
+            "total_tokens": prompt + sent,
+        }
--- /dev/null
+++ b/packages/node/src/quetzalward_node/callers/_targets.py
@@ -0,0 +1,209 @@
+"""HTTP connections to targets.
+
+A connection is used for one exchange at a time and returns to the pool only
+after its answer was read to the end. Every other connection is closed, so
+that no answer can reach a later request.
+"""
+
+import collections
+import contextlib
+import http.client
+import socket
+import threading
+import typing
+import urllib.parse
+
+import attrs
+from urllib3 import connection as urllib3_connection
+from urllib3 import exceptions as urllib3_exceptions
+from urllib3 import response as urllib3_response
+
+from quetzalward_core import clock as clocks
+
+MAX_IDLE_PER_TARGET = 16
+CONNECT_TIMEOUT_MS = 1_000
+READ_BYTES = 65_536
+# What a library may raise when a connection or its answer breaks.
+FAILURES = (
+    OSError,
+    http.client.HTTPException,
+    urllib3_exceptions.HTTPError,
+    ValueError,
+    AttributeError,
+)
+
+
+class NotConnectedError(Exception):
+    """The connection was never established, so nothing was sent."""
+
+
+class TargetTimeoutError(Exception):
+    """The target sent nothing within the time allowed."""
+
+
+class TargetBrokenError(Exception):
+    """The connection broke or the answer was unreadable."""
+
+
+def _is_timeout(error: BaseException) -> bool:
+    return isinstance(error, (TimeoutError, urllib3_exceptions.TimeoutError))
+
+
+@contextlib.contextmanager
+def _translated() -> typing.Iterator[None]:
+    try:
+        yield
+    except FAILURES as error:
+        if _is_timeout(error):
+            raise TargetTimeoutError(repr(error)) from error
+        raise TargetBrokenError(repr(error)) from error
+
+
+@attrs.define(eq=False)
+class TargetConnection:
+    """One connection to a target with at most one exchange."""
+
+    origin: str
+    http: urllib3_connection.HTTPConnection
+    sock: socket.socket
+    reused: bool
+    _response: urllib3_response.HTTPResponse | None = None
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: typing.Mapping[str, str],
+        body: bytes | None,
+        timeout_ms: clocks.Millis,
+    ) -> urllib3_response.HTTPResponse:
+        """Send a request and wait for the head of the answer.
+
+        Raises `TargetTimeoutError` or `TargetBrokenError`.
+        """
+        self.http.timeout = _seconds(timeout_ms)
+        with _translated():
+            self.http.request(
+                method,
+                path,
+                body=body,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+            )
+            self._response = self.http.getresponse()
+            return self._response
+
+    def read(self, timeout_ms: clocks.Millis) -> bytes:
+        """Return the next bytes of the answer, empty at its end.
+
+        Raises `TargetTimeoutError` or `TargetBrokenError`.
+        """
+        response = self._response
+        if response is None:
+            raise TargetBrokenError("no answer to read")
+        with _translated():
+            # Before the read: with the last byte http.client closes the
+            # file, and an answer that ends the connection closes the socket.
+            if self.sock.fileno() >= 0:
+                self.sock.settimeout(_seconds(timeout_ms))
+            return response.read1(READ_BYTES, decode_content=False)
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the answer was read to the end and may be reused."""
+        response = self._response
+        return (
+            response is not None
+            and self.http.sock is not None
+            and response.closed
+        )
+
+    def close(self) -> None:
+        """Close the connection, whatever is outstanding on it."""
+        with contextlib.suppress(*FAILURES):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        if self._response is not None:
+            with contextlib.suppress(*FAILURES):
+                self._response.close()
+        with contextlib.suppress(*FAILURES):
+            self.http.close()
+
+
+def _seconds(timeout_ms: clocks.Millis) -> float:
+    # A timeout of 0 would make the socket non-blocking.
+    return max(timeout_ms, 1) / clocks.MILLIS_PER_SECOND
+
+
+class TargetConnections:
+    """Idle connections by origin; safe for use by many threads."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._lock = threading.Lock()
+        self._idle_by_origin: dict[
+            str, collections.deque[TargetConnection]
+        ] = {}
+        self._closed = False
+
+    def open(self, url: str, fresh: bool = False) -> TargetConnection:
+        """Return a connection to the host of `url`.
+
+        `fresh` makes a new one: on a kept connection a failure to send does
+        not prove that the target received nothing. Raises
+        `NotConnectedError`.
+        """
+        parts = urllib.parse.urlsplit(url)
+        origin = f"{parts.hostname}:{parts.port or 80}"
+        while not fresh:
+            kept = self._take(origin)
+            if kept is None:
+                break
+            if kept.http.is_connected:
+                kept.reused = True
+                return kept
+            kept.close()
+        return _connect(origin, parts.hostname or "", parts.port or 80)
+
+    def give_back(self, connection: TargetConnection) -> None:
+        """Keep a connection for reuse, or close it if it is not clean."""
+        if connection.reusable:
+            with self._lock:
+                idle = self._idle_by_origin.setdefault(
+                    connection.origin, collections.deque()
+                )
+                if not self._closed and len(idle) < MAX_IDLE_PER_TARGET:
+                    idle.append(connection)
+                    return
+        connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections and keep none from now on."""
+        with self._lock:
+            self._closed = True
+            kept = [c for idle in self._idle_by_origin.values() for c in idle]
+            self._idle_by_origin.clear()
+        for connection in kept:
+            connection.close()
+
+    def _take(self, origin: str) -> TargetConnection | None:
+        with self._lock:
+            idle = self._idle_by_origin.get(origin)
+            if not idle:
+                self._idle_by_origin.pop(origin, None)
+                return None
+            return idle.pop()
+
+
+def _connect(origin: str, host: str, port: int) -> TargetConnection:
+    connection = urllib3_connection.HTTPConnection(
+        host,
+        port,
+        timeout=CONNECT_TIMEOUT_MS / clocks.MILLIS_PER_SECOND,
+    )
+    try:
+        connection.connect()
+    except FAILURES as error:
+        connection.close()
+        raise NotConnectedError(f"{origin}: {error!r}") from error
+    return TargetConnection(origin, connection, connection.sock, False)
--- /dev/null
+++ b/packages/node/src/quetzalward_node/telemetry/__init__.py
@@ -0,0 +1,33 @@
+"""Metrics and spans of a node."""
+
+import attrs
+
+from quetzalward_node.telemetry._metrics import CONTENT_TYPE
+from quetzalward_node.telemetry._metrics import Counter
+from quetzalward_node.telemetry._metrics import Gauge
+from quetzalward_node.telemetry._metrics import Latency
+from quetzalward_node.telemetry._metrics import Metrics
+from quetzalward_node.telemetry._tracing import Tracing
+
+__all__ = [
+    "CONTENT_TYPE",
+    "Counter",
+    "Gauge",
+    "Latency",
+    "Metrics",
+    "Telemetry",
+    "Tracing",
+]
+
+
+@attrs.frozen
+class Telemetry:
+    """What every task of a node reports to."""
+
+    metrics: Metrics
+    tracing: Tracing
+
+
+def create(node: str, trace_file: str | None = None) -> Telemetry:
+    """Return the telemetry of a node."""
+    return Telemetry(Metrics(), Tracing(node, trace_file))
--- /dev/null
+++ b/packages/node/src/quetzalward_node/telemetry/_tracing.py
@@ -0,0 +1,107 @@
+"""OpenTelemetry spans with W3C trace context and a JSON-lines exporter."""
+
+import threading
+import typing
+
+from opentelemetry import context as otel_context
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+from opentelemetry.sdk.trace import sampling
+from opentelemetry import trace
+from opentelemetry.trace.propagation import tracecontext
+
+Attributes = typing.Mapping[str, str | int | float | bool]
+
+
+class JsonLinesExporter(export.SpanExporter):
+    """Appends each span as one line of JSON to a file."""
+
+    def __init__(self, path: str) -> None:
+        """Open the file for appending."""
+        self._file = open(path, "a", encoding="utf-8")
+        self._lock = threading.Lock()
+
+    def export(
+        self, spans: typing.Sequence[sdk_trace.ReadableSpan]
+    ) -> export.SpanExportResult:
+        """Write the spans."""
+        lines = "".join(span.to_json(indent=None) + "\n" for span in spans)
+        try:
+            with self._lock:
+                self._file.write(lines)
+                self._file.flush()
+        except (OSError, ValueError):
+            return export.SpanExportResult.FAILURE
+        return export.SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        with self._lock:
+            self._file.close()
+
+
+class Tracing:
+    """Starts spans; without a trace file they only carry the context."""
+
+    def __init__(self, node: str, trace_file: str | None = None) -> None:
+        """Create spans in the name of a node."""
+        self._provider = sdk_trace.TracerProvider(
+            # A caller's decision to sample is kept and passed on either way.
+            sampler=sampling.ParentBased(
+                sampling.ALWAYS_ON if trace_file else sampling.ALWAYS_OFF
+            ),
+            resource=resources.Resource(
+                {
+                    "service.name": "quetzalward-node",
+                    "service.instance.id": node,
+                }
+            ),
+            shutdown_on_exit=False,
+        )
+        if trace_file:
+            self._provider.add_span_processor(
+                export.BatchSpanProcessor(JsonLinesExporter(trace_file))
+            )
+        self._tracer = self._provider.get_tracer("quetzalward")
+        self._propagator = tracecontext.TraceContextTextMapPropagator()
+
+    def entry(
+        self, headers: typing.Mapping[str, str], attributes: Attributes
+    ) -> trace.Span:
+        """Start the span of a request from a caller's trace headers."""
+        parent = self._propagator.extract(
+            dict(headers), context=otel_context.Context()
+        )
+        return self._tracer.start_span(
+            "entry",
+            context=parent,
+            kind=trace.SpanKind.SERVER,
+            attributes=dict(attributes),
+        )
+
+    def child(
+        self,
+        parent: trace.Span,
+        name: str,
+        attributes: Attributes | None = None,
+        client: bool = False,
+    ) -> trace.Span:
+        """Start a span below another one."""
+        return self._tracer.start_span(
+            name,
+            context=trace.set_span_in_context(parent, otel_context.Context()),
+            kind=trace.SpanKind.CLIENT if client else trace.SpanKind.INTERNAL,
+            attributes=dict(attributes or {}),
+        )
+
+    def headers(self, span: trace.Span) -> dict[str, str]:
+        """Return the trace headers for a call made within a span."""
+        carrier: dict[str, str] = {}
+        context = trace.set_span_in_context(span, otel_context.Context())
+        self._propagator.inject(carrier, context=context)
+        return carrier
+
+    def close(self) -> None:
+        """Export what is outstanding and stop."""
+        self._provider.shutdown()
