Pure decisions for routing, cold start and limits; dispatch and targets

Cause: entry nodes need admission, queueing and a choice of target. Change: core packages routing, coldstart and limits without I/O; node tasks dispatch and targets; control, demand and targets seams in interfaces.py; Grant.expires_ms bounds the time between check and send.

--- /dev/null
+++ b/packages/node/src/quetzalward_node/dispatch/__init__.py
@@ -0,0 +1,6 @@
+"""Admission, queueing and routing of one node."""
+
+from quetzalward_node.dispatch._task import DispatchTask
+from quetzalward_node.dispatch._task import ServiceRouting
+
+__all__ = ["DispatchTask", "ServiceRouting"]
--- /dev/null
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -0,0 +1,406 @@
+"""The targets that this node may use, and the choice among them."""
+
+import random
+import typing
+
+import attrs
+
+from quetzalward_core import clock
+from quetzalward_core import coldstart
+from quetzalward_core import config
+from quetzalward_core import routing
+from quetzalward_node import interfaces
+
+# Requests waiting at a target that names no capacity before it counts as full.
+MAX_WAITING = 4
+_SMOOTHING = 0.1
+
+
+@attrs.frozen
+class Choice:
+    """A target found for a request."""
+
+    target_id: str
+    url: str
+    zone: str
+
+
+@attrs.define
+class _Target:
+    """This node's own knowledge of one target."""
+
+    tracker: routing.LoadTracker = attrs.field(factory=routing.LoadTracker)
+    prefixes: routing.PrefixIndex = attrs.field(factory=routing.PrefixIndex)
+    was_cold: bool = False
+    warm_since_ms: clock.Millis | None = None
+    refused_ms: clock.Millis | None = None
+
+
+@attrs.define
+class _Model:
+    """Measurements of one model's targets."""
+
+    ejector: routing.Ejector
+    first_tokens: coldstart.FirstTokenMonitor = attrs.field(
+        factory=coldstart.FirstTokenMonitor
+    )
+    service_ms: float = routing.CostParameters().service_ms
+    first_token_ms: float = 0.0
+
+
+class TargetPool:
+    """Decides which target gets a request; holds no queue."""
+
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        control: interfaces.ControlView,
+        rng: random.Random,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Start with a control view and no target reports."""
+        self._zone = zone
+        self._rng = rng
+        self._control = control
+        self._view = interfaces.TargetsView()
+        self._targets: dict[str, _Target] = {}
+        self._models: dict[str, _Model] = {}
+        settings = control.configuration
+        self._slots = coldstart.SlotTable(
+            node,
+            settings.engines.default_bearable,
+            settings.limits.request_timeout_ms,
+        )
+        self.apply_control(control, now_ms)
+
+    def apply_control(
+        self, control: interfaces.ControlView, now_ms: clock.Millis
+    ) -> None:
+        """Take a control view; also called unchanged, as a heartbeat."""
+        self._control = control
+        self._slots.update(control.nodes, control.groups, now_ms)
+        for target_id in set(self._targets) - set(control.groups):
+            if not self._targets[target_id].tracker.in_flight:
+                del self._targets[target_id]
+
+    def apply_targets(
+        self,
+        view: interfaces.TargetsView,
+        events: typing.Iterable[interfaces.CacheEvent],
+        now_ms: clock.Millis,
+    ) -> None:
+        """Take new reports and cache events."""
+        old = self._view.reports
+        self._view = view
+        for target_id, report in view.reports.items():
+            if old.get(target_id) is not report:
+                self._apply_report(report, now_ms)
+        for event in events:
+            target = self._targets.get(event.target_id)
+            if target and event.added:
+                target.prefixes.add((event.prefix,))
+            elif target:
+                target.prefixes.evict(event.prefix)
+
+    def _apply_report(
+        self, report: routing.EngineReport, now_ms: clock.Millis
+    ) -> None:
+        group = self._control.groups.get(report.target_id)
+        if group is None:
+            return
+        target = self._target(report.target_id)
+        target.tracker.forget_before(report.as_of_ms)
+        self._slots.note_report(report, now_ms)
+        cold = self._slots.is_cold(report.target_id)
+        if target.was_cold and not cold:
+            target.warm_since_ms = now_ms
+        if cold:
+            target.prefixes.clear()
+        target.was_cold = cold
+        if report.running and report.token_ms > 0:
+            model = self._model(group.model)
+            model.ejector.observe(report.target_id, report.token_ms)
+
+    def base_model(self, name: str) -> str | None:
+        """Return the model that serves a name, adapter or version."""
+        models = self._control.configuration.models
+        if name in models:
+            return name
+        for base, model in models.items():
+            if name in model.adapters or name in model.versions:
+                return base
+        return None
+
+    def has_group(self, model: str) -> bool:
+        """Return whether the fold holds any group of a model."""
+        return any(g.model == model for g in self._control.groups.values())
+
+    def any_present(self, model: str, now_ms: clock.Millis) -> bool:
+        """Return whether any target of a model could take work if idle."""
+        return any(
+            group.model == model and self._permitted(group, now_ms)
+            for group in self._control.groups.values()
+        )
+
+    def choose(
+        self, request: interfaces.RouteRequest, now_ms: clock.Millis
+    ) -> Choice | None:
+        """Return the target for a request, or `None` if none is free."""
+        base = self.base_model(request.model)
+        if base is None:
+            return None
+        mean = self._mean_load(base)
+        warm: list[str] = []
+        cold: list[str] = []
+        for group in self._control.groups.values():
+            if group.model != base or group.group_id in request.excluded:
+                continue
+            if not self.may_send(group.group_id, request.model, now_ms):
+                continue
+            cold_now = self._slots.is_cold(group.group_id)
+            (cold if cold_now else warm).append(group.group_id)
+        prefixes = routing.prefix_ids(request.prompt)
+        found = self._pick(base, warm, cold, mean, prefixes, request, now_ms)
+        if found is None:
+            return None
+        group = self._control.groups[found]
+        return Choice(found, self._view.urls[found], group.zone)
+
+    def _pick(
+        self,
+        base: str,
+        warm: list[str],
+        cold: list[str],
+        mean: float,
+        prefixes: tuple[str, ...],
+        request: interfaces.RouteRequest,
+        now_ms: clock.Millis,
+    ) -> str | None:
+        """Choose among free targets; a straggler only as the last resort."""
+        settings = self._control.configuration.routing
+        watched = [
+            name
+            for name in self._view.subset
+            if name in self._control.groups
+            and self._control.groups[name].model == base
+        ]
+        ejected = self._model(base).ejector.ejected(watched, now_ms)
+        names = [name for name in warm if name not in ejected] or warm
+        if cold:
+            # One cold target is always a candidate, or none would warm up.
+            names = [*names, self._rng.choice(cold)]
+        tokens = routing.token_count(request.prompt)
+        best = routing.choose(
+            [self._candidate(n, mean, prefixes, now_ms) for n in names],
+            tokens,
+            prefixes[0] if prefixes else None,
+            self._rng,
+            settings.choices,
+            self._parameters(base),
+        )
+        return best.target_id if best else None
+
+    def _parameters(self, base: str) -> routing.CostParameters:
+        """Return the cost weights with this node's measurements."""
+        settings = self._control.configuration.routing
+        return routing.CostParameters(
+            service_ms=self._model(base).service_ms,
+            zone_penalty_ms=settings.zone_penalty_ms,
+        )
+
+    def _candidate(
+        self,
+        target_id: str,
+        mean: float,
+        prefixes: tuple[str, ...],
+        now_ms: clock.Millis,
+    ) -> routing.Candidate:
+        target = self._target(target_id)
+        report = self._view.reports[target_id]
+        load = coldstart.ramp_load(
+            self._load(target_id, mean, now_ms),
+            mean,
+            target.warm_since_ms,
+            now_ms,
+        )
+        return routing.Candidate(
+            target_id,
+            load,
+            report.bearable,
+            target.prefixes.cached_tokens(prefixes),
+            self._control.groups[target_id].zone == self._zone,
+        )
+
+    def may_send(
+        self, target_id: str, model: str, now_ms: clock.Millis
+    ) -> bool:
+        """Return whether a target may get one more request now.
+
+        Covers R1, R3, R4 and R8; asked again directly before each grant.
+        """
+        group = self._control.groups.get(target_id)
+        if group is None or not self._permitted(group, now_ms):
+            return False
+        report = self._view.reports[target_id]
+        if model != group.model and model not in report.models:
+            return False
+        target = self._target(target_id)
+        if target.refused_ms is not None:
+            if report.as_of_ms <= target.refused_ms:
+                return False
+            target.refused_ms = None
+        if self._slots.is_cold(target_id):
+            return self._slot_free(target_id, now_ms)
+        if target_id not in self._view.subset:
+            return False
+        return not self._is_full(target_id, report, now_ms)
+
+    def _permitted(
+        self, group: routing.GroupView, now_ms: clock.Millis
+    ) -> bool:
+        """Return whether rules other than load permit work at a group."""
+        if group.draining or group.zone in self._control.zones_out:
+            return False
+        if group.group_id not in self._view.urls:
+            return False
+        state = routing.presence(
+            group,
+            self._view.reports.get(group.group_id),
+            self._view.host_list,
+            now_ms,
+        )
+        return state is routing.Presence.READY
+
+    def _slot_free(self, target_id: str, now_ms: clock.Millis) -> bool:
+        """Return whether this node owns an unused slot of a cold target."""
+        if not self._control.ownership_current:
+            return False
+        used = len(self._target(target_id).tracker.in_flight)
+        return used < self._slots.usable(target_id, now_ms)
+
+    def _is_full(
+        self,
+        target_id: str,
+        report: routing.EngineReport,
+        now_ms: clock.Millis,
+    ) -> bool:
+        """Return whether a warm target would make the request wait long."""
+        if report.bearable is not None:
+            load = self._load(target_id, float(report.load), now_ms)
+            return load >= report.bearable
+        tracker = self._target(target_id).tracker
+        change = tracker.change_since(report.as_of_ms)
+        return report.waiting > 0 and report.waiting + change >= MAX_WAITING
+
+    def _load(
+        self, target_id: str, mean: float, now_ms: clock.Millis
+    ) -> float:
+        return routing.estimate_load(
+            self._view.reports[target_id],
+            self._target(target_id).tracker,
+            mean,
+            now_ms,
+        )
+
+    def _mean_load(self, base: str) -> float:
+        """Return the mean reported load of a model's subset."""
+        groups = self._control.groups
+        loads = [
+            report.load
+            for name, report in self._view.reports.items()
+            if name in groups and groups[name].model == base
+        ]
+        return sum(loads) / len(loads) if loads else 0.0
+
+    def sent(
+        self,
+        grant_id: int,
+        target_id: str,
+        prompt: str,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Count a grant and the prefix it will leave in the cache."""
+        target = self._target(target_id)
+        target.tracker.sent(grant_id, now_ms)
+        target.prefixes.add(routing.prefix_ids(prompt))
+
+    def ended(
+        self,
+        grant_id: int,
+        target_id: str,
+        model: str,
+        sent_ms: clock.Millis,
+        report: interfaces.AttemptReport,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Return a grant's slot and learn from the attempt."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return
+        target.tracker.ended(grant_id, now_ms)
+        result = report.result
+        ejector = self._model(model).ejector
+        if result is interfaces.AttemptResult.COLD:
+            self._note_cold(target_id, now_ms)
+        elif result is interfaces.AttemptResult.REFUSED:
+            target.refused_ms = now_ms
+        elif result in (
+            interfaces.AttemptResult.FAILED,
+            interfaces.AttemptResult.TIMED_OUT,
+        ):
+            ejector.failed(target_id)
+        elif result is interfaces.AttemptResult.OK:
+            ejector.succeeded(target_id)
+            self._learn(target_id, model, sent_ms, report, now_ms)
+
+    def _learn(
+        self,
+        target_id: str,
+        model: str,
+        sent_ms: clock.Millis,
+        report: interfaces.AttemptReport,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Use a successful attempt's measurements."""
+        measured = self._model(model)
+        change_ms = now_ms - sent_ms - measured.service_ms
+        measured.service_ms += _SMOOTHING * change_ms
+        if report.token_ms is not None:
+            measured.ejector.observe(target_id, report.token_ms)
+        first_ms = report.first_token_ms
+        if first_ms is None or self._slots.is_cold(target_id):
+            return
+        if measured.first_tokens.is_cold(first_ms):
+            self._note_cold(target_id, now_ms)
+            return
+        change_ms = first_ms - measured.first_token_ms
+        measured.first_token_ms += _SMOOTHING * change_ms
+
+    def _note_cold(self, target_id: str, now_ms: clock.Millis) -> None:
+        self._slots.note_cold(target_id, now_ms)
+        target = self._target(target_id)
+        target.was_cold = True
+        target.prefixes.clear()
+
+    def first_token_ms(self, model: str) -> float:
+        """Return the usual time from dispatch to first token."""
+        return self._model(model).first_token_ms
+
+    def in_flight(self, target_id: str) -> int:
+        """Return this node's requests at a target."""
+        target = self._targets.get(target_id)
+        return len(target.tracker.in_flight) if target else 0
+
+    def _target(self, target_id: str) -> _Target:
+        return self._targets.setdefault(target_id, _Target())
+
+    def _model(self, base: str) -> _Model:
+        if base not in self._models:
+            settings: config.Routing = self._control.configuration.routing
+            self._models[base] = _Model(
+                routing.Ejector(
+                    settings.ejection_ratio, settings.max_ejected_fraction
+                )
+            )
+        return self._models[base]
--- /dev/null
+++ b/packages/node/src/quetzalward_node/dispatch/_task.py
@@ -0,0 +1,288 @@
+"""The dispatch task: one thread that owns admission, queues and routing."""
+
+import itertools
+import queue
+import random
+import threading
+import typing
+
+import logbook
+
+from quetzalward_core import clock
+from quetzalward_core import errors
+from quetzalward_node.dispatch import _messages
+from quetzalward_node.dispatch import _services
+from quetzalward_node.dispatch import _state
+from quetzalward_node import interfaces
+
+TICK_S = 0.05
+# Added to a caller's deadline before it gives up on the task's own answer.
+REPLY_GRACE_MS = 500
+# Answers that need no queue come at once; longer means a stalled task.
+QUICK_REPLY_S = 2.0
+_BATCH = 64
+
+_LOG = logbook.Logger("dispatch")
+_CANCELLED = interfaces.AttemptReport(interfaces.AttemptResult.CANCELLED)
+
+
+class DispatchTask:
+    """Implements `Dispatcher` and `TargetsSink` by messages to its thread."""
+
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        control: interfaces.ControlSource,
+        demands: interfaces.DemandExchange,
+        time_source: clock.Clock,
+        rng: random.Random,
+    ) -> None:
+        """Create the task; `start` runs its thread."""
+        self._clock = time_source
+        self._demands = demands
+        now_ms = time_source.now_ms()
+        self._state = _state.DispatchState(node, zone, control, rng, now_ms)
+        self._services = _services.ServiceState(
+            zone, self._state.customers, rng
+        )
+        self._mailbox: queue.Queue[_messages.Message] = queue.Queue()
+        self._tickets = itertools.count(1)
+        self._replies: dict[int, _messages.Acquire] = {}
+        self._thread = threading.Thread(
+            target=self._run, name="dispatch", daemon=True
+        )
+        self._stopped = False
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop_admission(self) -> None:
+        """Refuse new drafts; queued ones and later attempts go on."""
+        self._mailbox.put(_messages.StopAdmission())
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """End the thread; requests still queued get `node_stopping`."""
+        self._mailbox.put(_messages.StopTask())
+        if self._thread.is_alive():
+            self._thread.join(timeout_s)
+
+    def acquire(self, request: interfaces.RouteRequest) -> interfaces.Grant:
+        """Wait for admission and a target, as `Dispatcher.acquire`."""
+        reply: _messages.ReplySlot[_state.Outcome] = _messages.ReplySlot()
+        ticket = next(self._tickets)
+        self._mailbox.put(_messages.Acquire(ticket, request, reply))
+        left_ms = request.deadline_ms - self._clock.now_ms() + REPLY_GRACE_MS
+        outcome = reply.wait(max(0, left_ms) / clock.MILLIS_PER_SECOND)
+        if outcome is None:
+            self._mailbox.put(_messages.Withdraw(ticket))
+            raise errors.QuetzalwardError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                "the deadline passed before a target was found",
+            )
+        if isinstance(outcome, errors.QuetzalwardError):
+            raise outcome
+        return outcome
+
+    def release(
+        self, grant: interfaces.Grant, report: interfaces.AttemptReport
+    ) -> None:
+        """End an attempt, as `Dispatcher.release`."""
+        self._mailbox.put(_messages.Release(grant, report))
+
+    def finish(self, request_id: str) -> None:
+        """End a request, as `Dispatcher.finish`."""
+        self._mailbox.put(_messages.Finish(request_id))
+
+    def may_retry(self) -> bool:
+        """Spend one retry; false also if the task does not answer."""
+        reply: _messages.ReplySlot[bool] = _messages.ReplySlot()
+        self._mailbox.put(_messages.MayRetry(reply))
+        return bool(reply.wait(QUICK_REPLY_S))
+
+    def choose_service(self, call: interfaces.ServiceCall) -> interfaces.Grant:
+        """Return a replica, as `ServiceRouter.choose`."""
+        reply: _messages.ReplySlot[typing.Any] = _messages.ReplySlot()
+        self._mailbox.put(_messages.ChooseService(call, reply))
+        outcome = reply.wait(QUICK_REPLY_S)
+        if outcome is None:
+            raise errors.QuetzalwardError(
+                errors.ErrorKind.OVERLOADED, "the node is too busy to route"
+            )
+        if isinstance(outcome, errors.QuetzalwardError):
+            raise outcome
+        return typing.cast(interfaces.Grant, outcome)
+
+    def release_service(
+        self, grant: interfaces.Grant, report: interfaces.AttemptReport
+    ) -> None:
+        """End a call, as `ServiceRouter.release`."""
+        self._mailbox.put(_messages.ReleaseService(grant, report))
+
+    def hedge_after_ms(self, service: str, repeatable: bool) -> float | None:
+        """Return when to hedge, as `ServiceRouter.hedge_after_ms`."""
+        reply: _messages.ReplySlot[float] = _messages.ReplySlot()
+        self._mailbox.put(_messages.HedgeAfter(service, repeatable, reply))
+        return reply.wait(QUICK_REPLY_S)
+
+    def publish_targets(
+        self,
+        view: interfaces.TargetsView,
+        events: tuple[interfaces.CacheEvent, ...],
+    ) -> None:
+        """Take a new view, as `TargetsSink`."""
+        self._mailbox.put(_messages.TargetsRead(view, events))
+
+    def _run(self) -> None:
+        """Handle messages until stopped."""
+        while not self._stopped:
+            for message in self._next_batch():
+                self._handle_safely(message)
+            try:
+                self._step()
+            except Exception:
+                _LOG.exception("dispatch step failed")
+        self._refuse_rest()
+
+    def _next_batch(self) -> list[_messages.Message]:
+        """Return the waiting messages, up to a bound, or none in a tick."""
+        try:
+            batch = [self._mailbox.get(timeout=TICK_S)]
+        except queue.Empty:
+            return []
+        while len(batch) < _BATCH:
+            try:
+                batch.append(self._mailbox.get_nowait())
+            except queue.Empty:
+                break
+        return batch
+
+    def _step(self) -> None:
+        """Serve queues and exchange demands."""
+        now_ms = self._clock.now_ms()
+        for ticket, outcome in self._state.tick(now_ms):
+            waiting = self._replies.pop(ticket)
+            self._answer(waiting, outcome)
+        self._state.customers.exchange(self._demands, now_ms)
+
+    def _handle_safely(self, message: _messages.Message) -> None:
+        """Handle a message; a fault answers its sender and nobody else."""
+        try:
+            self._handle(message)
+        except Exception as error:
+            _LOG.exception("dispatch message failed")
+            reply = getattr(message, "reply", None)
+            if reply is not None:
+                reply.offer(
+                    errors.QuetzalwardError(
+                        errors.ErrorKind.INTERNAL,
+                        f"routing failed: {error}",
+                        outcome=errors.Outcome.NOT_RUN,
+                    )
+                )
+
+    def _handle(self, message: _messages.Message) -> None:
+        """Apply one message to the state."""
+        now_ms = self._clock.now_ms()
+        match message:
+            case _messages.Acquire():
+                self._handle_acquire(message, now_ms)
+            case _messages.Withdraw():
+                self._replies.pop(message.ticket, None)
+                self._state.withdraw(message.ticket)
+            case _messages.Release():
+                self._state.release(message.grant, message.report, now_ms)
+            case _messages.Finish():
+                self._state.finish(message.request_id)
+            case _messages.MayRetry():
+                message.reply.offer(self._state.may_retry(now_ms))
+            case _messages.ChooseService():
+                self._handle_choose(message, now_ms)
+            case _messages.ReleaseService():
+                self._services.release(message.grant, message.report)
+            case _messages.HedgeAfter():
+                message.reply.offer(
+                    self._services.hedge_after_ms(
+                        message.service, message.repeatable
+                    )
+                )
+            case _messages.TargetsRead():
+                self._state.pool.apply_targets(
+                    message.view, message.events, now_ms
+                )
+            case _messages.StopAdmission():
+                self._state.stop()
+            case _messages.StopTask():
+                self._stopped = True
+
+    def _handle_acquire(
+        self, message: _messages.Acquire, now_ms: clock.Millis
+    ) -> None:
+        outcome = self._state.submit(message.ticket, message.request, now_ms)
+        if outcome is None:
+            self._replies[message.ticket] = message
+        else:
+            self._answer(message, outcome)
+
+    def _handle_choose(
+        self, message: _messages.ChooseService, now_ms: clock.Millis
+    ) -> None:
+        self._state.refresh(now_ms)
+        outcome = self._services.choose(
+            message.call, self._state.control, now_ms
+        )
+        taken = message.reply.offer(outcome)
+        if not taken and isinstance(outcome, interfaces.Grant):
+            self._services.release(outcome, _CANCELLED)
+
+    def _answer(
+        self, waiting: _messages.Acquire, outcome: _state.Outcome
+    ) -> None:
+        """Deliver an outcome; take a grant back if nobody waits for it."""
+        if waiting.reply.offer(outcome):
+            return
+        if isinstance(outcome, interfaces.Grant):
+            self._state.release(outcome, _CANCELLED, self._clock.now_ms())
+        if waiting.request.attempt == 1:
+            self._state.finish(waiting.request.request_id)
+
+    def _refuse_rest(self) -> None:
+        """Answer requests that are still queued when the task ends."""
+        error = errors.QuetzalwardError(
+            errors.ErrorKind.NODE_STOPPING, "this node is stopping"
+        )
+        while True:
+            try:
+                message = self._mailbox.get_nowait()
+            except queue.Empty:
+                break
+            reply = getattr(message, "reply", None)
+            if reply is not None and isinstance(
+                message, _messages.Acquire | _messages.ChooseService
+            ):
+                reply.offer(error)
+        for waiting in self._replies.values():
+            waiting.reply.offer(error)
+
+
+class ServiceRouting:
+    """Implements `ServiceRouter` on the dispatch task."""
+
+    def __init__(self, task: DispatchTask) -> None:
+        """Use the task's thread and limits."""
+        self._task = task
+
+    def choose(self, call: interfaces.ServiceCall) -> interfaces.Grant:
+        """Return a replica's base URL as a grant."""
+        return self._task.choose_service(call)
+
+    def release(
+        self, grant: interfaces.Grant, report: interfaces.AttemptReport
+    ) -> None:
+        """End a call and return its place."""
+        self._task.release_service(grant, report)
+
+    def hedge_after_ms(self, service: str, repeatable: bool) -> float | None:
+        """Return the time after which to send a second attempt."""
+        return self._task.hedge_after_ms(service, repeatable)
--- a/packages/node/src/quetzalward_node/interfaces.py
+++ b/packages/node/src/quetzalward_node/interfaces.py
@@ -11,6 +11,9 @@
 import attrs
 
 from quetzalward_core import clock
+from quetzalward_core import config
+from quetzalward_core import limits
+from quetzalward_core import routing
 
 
 @attrs.frozen
@@ -45,6 +48,9 @@
     url: str
     zone: str
     attempt: int
+    # The attempt must be sent before this time, or the grant released: the
+    # checks behind it (zone, drain, cold-start slot) hold no longer.
+    expires_ms: clock.Millis | None = None
 
 
 class AttemptResult(enum.StrEnum):
@@ -106,7 +112,90 @@
         """Return a replica's base URL as a grant, or raise as `acquire`."""
 
     def release(self, grant: Grant, report: AttemptReport) -> None:
-        """End an attempt and return its slot."""
+        """End an attempt and return its slot.
+
+        `first_token_ms` of the report is the time to the answer's first byte.
+        """
+
+    def hedge_after_ms(self, service: str, repeatable: bool) -> float | None:
+        """Return the time after which to send a second attempt.
+
+        `None` means never. The second attempt needs `may_retry` too.
+        """
+
+
+@attrs.frozen
+class ControlView:
+    """What routing needs of the fold and of this node's freshness."""
+
+    # Position of the last record applied.
+    position: int
+    configuration: config.Configuration
+    groups: typing.Mapping[str, routing.GroupView]
+    # Zones taken out, on the log or by a direct stop order.
+    zones_out: frozenset[str]
+    # Zone by name of each node that joined and neither left nor expired.
+    nodes: typing.Mapping[str, str]
+    # This node may start no new work.
+    isolated: bool
+    # Within the last 5 s this node read the log's head, or heard from a
+    # majority of the nodes, none of which has read further. Otherwise a
+    # cold-start slot may have moved away unseen.
+    ownership_current: bool
+
+
+class ControlSource(typing.Protocol):
+    """The newest control view."""
+
+    def view(self) -> ControlView:
+        """Return an immutable view; never blocks.
+
+        The same object is returned as long as nothing changed.
+        """
+
+
+class DemandExchange(typing.Protocol):
+    """Customers' demands, gossiped between nodes."""
+
+    def publish(self, demands: typing.Mapping[str, limits.Demand]) -> None:
+        """Replace this node's demand by customer; never blocks."""
+
+    def others(
+        self,
+    ) -> typing.Mapping[str, typing.Mapping[str, limits.Demand]]:
+        """Return the last demand heard, by other node and customer."""
+
+
+@attrs.frozen
+class CacheEvent:
+    """A change of a target's prefix cache; ids as `routing.prefix_ids`."""
+
+    target_id: str
+    prefix: str
+    added: bool
+
+
+@attrs.frozen
+class TargetsView:
+    """What this node knows of the targets it watches."""
+
+    # Targets of the node's balanced subset; others are watched only for a
+    # cold-start slot.
+    subset: frozenset[str] = frozenset()
+    reports: typing.Mapping[str, routing.EngineReport] = attrs.field(
+        factory=dict
+    )
+    urls: typing.Mapping[str, str] = attrs.field(factory=dict)
+    host_list: routing.HostList | None = None
+
+
+class TargetsSink(typing.Protocol):
+    """Receiver of what the targets task reads."""
+
+    def publish_targets(
+        self, view: TargetsView, events: tuple[CacheEvent, ...]
+    ) -> None:
+        """Take a new view and the cache events since the last; no wait."""
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/node/src/quetzalward_node/targets/_codec.py
@@ -0,0 +1,125 @@
+"""Engine reports, cache events and host lists from JSON."""
+
+import json
+import typing
+
+import attrs
+import cattrs
+
+from quetzalward_core import clock
+from quetzalward_core import routing
+
+# Unknown keys are ignored: engines may report more than this reads.
+_CONVERTER = cattrs.Converter()
+
+
+@attrs.frozen
+class _Member:
+    host: str
+    incarnation: str
+
+
+@attrs.frozen
+class _Report:
+    target: str
+    epoch: int
+    hosts: tuple[_Member, ...]
+    state: routing.EngineState
+    models: frozenset[str]
+    running: int
+    waiting: int
+    age_ms: int
+    kv_used: float = 0.0
+    token_ms: float = 0.0
+    bearable: int | None = None
+
+
+@attrs.frozen
+class _Host:
+    host: str
+    zone: str
+    domain: str
+    incarnation: str
+    state: str
+    engine_url: str
+
+
+@attrs.frozen
+class _Hosts:
+    age_ms: int
+    hosts: tuple[_Host, ...]
+
+
+@attrs.frozen
+class RawEvent:
+    """One cache event of an engine."""
+
+    seq: int
+    prefix: str
+    op: str
+
+
+@attrs.frozen
+class RawEvents:
+    """Cache events after a sequence number, and the next number to ask."""
+
+    events: tuple[RawEvent, ...]
+    next: int
+
+
+_Model = typing.TypeVar("_Model")
+
+
+def _structure(body: bytes, model: type[_Model]) -> _Model:
+    """Return the body as an instance of `model`, or raise `ValueError`."""
+    try:
+        return _CONVERTER.structure(json.loads(body), model)
+    except (cattrs.BaseValidationError, TypeError, KeyError) as error:
+        raise ValueError(f"not a valid {model.__name__}: {error}") from error
+
+
+def parse_report(body: bytes, sent_ms: clock.Millis) -> routing.EngineReport:
+    """Return an engine report; `sent_ms` is when it was asked for.
+
+    Raises `ValueError` for anything that is not a report.
+    """
+    raw = _structure(body, _Report)
+    if raw.running < 0 or raw.waiting < 0:
+        raise ValueError("negative load in an engine report")
+    return routing.EngineReport(
+        target_id=raw.target,
+        epoch=raw.epoch,
+        hosts=frozenset(
+            routing.HostId(one.host, one.incarnation) for one in raw.hosts
+        ),
+        state=raw.state,
+        models=raw.models,
+        running=raw.running,
+        waiting=raw.waiting,
+        kv_used=raw.kv_used,
+        token_ms=raw.token_ms,
+        bearable=raw.bearable,
+        as_of_ms=sent_ms - max(0, raw.age_ms),
+    )
+
+
+def parse_hosts(body: bytes, sent_ms: clock.Millis) -> routing.HostList:
+    """Return a host list; raises `ValueError` if it is not one."""
+    raw = _structure(body, _Hosts)
+    hosts = {
+        one.host: routing.HostEntry(
+            one.host,
+            one.incarnation,
+            one.zone,
+            one.domain,
+            one.state == "leaving",
+            one.engine_url,
+        )
+        for one in raw.hosts
+    }
+    return routing.HostList(sent_ms - max(0, raw.age_ms), hosts)
+
+
+def parse_events(body: bytes) -> RawEvents:
+    """Return cache events; raises `ValueError` if they are not."""
+    return _structure(body, RawEvents)
