--- a/packages/core/src/quetzalward_core/formation/_balance.py
+++ b/packages/core/src/quetzalward_core/formation/_balance.py
@@ -67,7 +67,7 @@
     for name in sorted(facts.fleet.models):
         wanted = facts.fleet.models[name].replicas
         kept = list(facts.kept_by_model[name])
-        serving = sum(_rank(group) == _SERVING_RANK for group in kept)
+        serving = sum(group.state is _STATE.SERVING for group in kept)
         while len(kept) > wanted:
             victim = _victim(kept)
             if _rank(victim) == _SERVING_RANK:
@@ -82,7 +82,8 @@
 def _rank(group: _model.Group) -> int:
     """Return how far a group is on its way to serve.
 
-    A draining group in the list of kept ones resumes in this plan.
+    A draining group in the list of kept ones resumes in this plan; it counts
+    as serving only in the next.
     """
     return _STATE_RANK.get(group.state, _SERVING_RANK)
 
--- a/packages/core/src/quetzalward_core/formation/_place.py
+++ b/packages/core/src/quetzalward_core/formation/_place.py
@@ -1,6 +1,7 @@
 """Placement of missing replicas in fabric domains."""
 
 import collections
+import itertools
 import typing
 
 from quetzalward_core.formation import _greedy
@@ -12,6 +13,9 @@
 IMPROVEMENT_ROUNDS = 3
 # Improvement takes time that grows with the square of this number.
 IMPROVED_ROOMS = 24
+# Up to this number, domains are also refilled in pairs. Single refills alone
+# miss the optimum's accelerators in about 1 of 1,000 small cases.
+PAIRED_ROOMS = 8
 
 _Rule = typing.Callable[["_Draft", _model.Demand, _model.Room], typing.Any]
 
@@ -142,9 +146,10 @@
     rooms: typing.Sequence[_model.Room],
     slots: typing.Sequence[_model.Slot],
     room: _model.Room,
+    cleared: typing.Collection[_model.DomainKey],
 ) -> typing.Iterator[list[_model.Slot]]:
-    """Yield placements that differ from `slots` from this domain on."""
-    kept = [slot for slot in slots if slot.key != room.key]
+    """Yield placements that fill one domain first, then the cleared ones."""
+    kept = [slot for slot in slots if slot.key not in cleared]
     base = _Draft(demands, rooms)
     for slot in kept:
         base.add(slot)
@@ -172,6 +177,18 @@
             yield trial.slots
 
 
+def _clearings(
+    rooms: typing.Sequence[_model.Room],
+) -> typing.Iterator[tuple[_model.Room, set[_model.DomainKey]]]:
+    """Yield the domain to fill first and the domains to clear with it."""
+    for room in rooms:
+        yield room, {room.key}
+    if len(rooms) > PAIRED_ROOMS:
+        return
+    for room, other in itertools.permutations(rooms, 2):
+        yield room, {room.key, other.key}
+
+
 def _improved(
     demands: typing.Sequence[_model.Demand],
     rooms: typing.Sequence[_model.Room],
@@ -181,8 +198,8 @@
     value = _score.score(demands, rooms, slots)
     for _ in range(IMPROVEMENT_ROUNDS):
         before = value
-        for room in rooms:
-            for other in _refilled(demands, rooms, slots, room):
+        for room, cleared in _clearings(rooms):
+            for other in _refilled(demands, rooms, slots, room, cleared):
                 other_value = _score.score(demands, rooms, other)
                 if other_value > value:
                     slots, value = other, other_value
@@ -191,6 +208,21 @@
     return slots
 
 
+def _may_improve(
+    demands: typing.Sequence[_model.Demand],
+    rooms: typing.Sequence[_model.Room],
+    slots: typing.Sequence[_model.Slot],
+) -> bool:
+    """Tell whether another placement could serve more.
+
+    It cannot if every replica is placed or every host is used.
+    """
+    size = {demand.model: demand.size for demand in demands}
+    used = sum(size[slot.model] for slot in slots)
+    all_placed = len(slots) == sum(demand.count for demand in demands)
+    return not all_placed and used < sum(room.free for room in rooms)
+
+
 def place(
     demands: typing.Sequence[_model.Demand],
     rooms: typing.Sequence[_model.Room],
@@ -210,7 +242,7 @@
             value = _score.score(demands, rooms, draft.slots)
             if value > best_score:
                 best, best_score = draft.slots, value
-    if len(rooms) <= IMPROVED_ROOMS:
+    if len(rooms) <= IMPROVED_ROOMS and _may_improve(demands, rooms, best):
         best = _improved(demands, rooms, best)
     rank = {m: i for i, m in enumerate(_score.service_order(demands))}
     return sorted(
--- a/packages/core/src/quetzalward_core/formation/_plan.py
+++ b/packages/core/src/quetzalward_core/formation/_plan.py
@@ -93,12 +93,17 @@
 def _resumes(facts: _assess.Assessment) -> list[_model.Action]:
     """Return the steps for draining groups that are wanted again.
 
-    A group that nobody misses resumes too if that evens out the zones; the
-    crowded zone then loses its surplus group. This costs no weight load.
+    A group is wanted while too few serve, even if its replacement loads. It
+    resumes too if that evens out the zones; the crowded zone then loses its
+    surplus group. Neither costs a weight load.
     """
     actions = []
     for group in _restorable(facts, _STATE.DRAINING):
-        wanted = facts.missing_count(group.model) > 0
+        ready = sum(
+            other.state in (_STATE.SERVING, _STATE.DRAINING)
+            for other in facts.kept_by_model[group.model]
+        )
+        wanted = ready < facts.fleet.models[group.model].replicas
         if wanted or _balance.evens_out(facts, group.model, group.zone):
             facts.kept_by_model[group.model].append(group)
             actions.append(_step(_KIND.RESUME, group, _model.Reason.RESTORED))
