Control view, direct stop orders and registration of nodes

Cause: routing needs one immutable view of zones, drains, groups and freshness, and the majority rule needs the nodes that are alive. Change: quetzalward_node.control.

--- /dev/null
+++ b/packages/node/src/quetzalward_node/control/__init__.py
@@ -0,0 +1,13 @@
+"""The control state as the other tasks of a node use it."""
+
+from quetzalward_node.control._configuration import ConfigurationHolder
+from quetzalward_node.control._registration import Registration
+from quetzalward_node.control._source import ControlViewSource
+from quetzalward_node.control._stops import LocalStops
+
+__all__ = [
+    "ConfigurationHolder",
+    "ControlViewSource",
+    "LocalStops",
+    "Registration",
+]
--- a/packages/node/src/quetzalward_node/interfaces.py
+++ b/packages/node/src/quetzalward_node/interfaces.py
@@ -351,3 +351,26 @@
 
     def status_by_node(self) -> collections.abc.Mapping[str, PeerStatus]:
         """Return the last status of each node by its name."""
+
+
+@attrs.frozen
+class Freshness:
+    """How much this node may trust what it knows of the log."""
+
+    # Neither the log's head nor a majority of nodes was heard in time.
+    isolated: bool
+    # As `ControlView.ownership_current`.
+    ownership_current: bool
+
+
+class PeerKnowledge(typing.Protocol):
+    """What the peers task tells the rest of the node."""
+
+    def freshness(self) -> Freshness:
+        """Return this node's freshness now; never blocks."""
+
+    def stopped_zones(self) -> collections.abc.Mapping[str, int]:
+        """Return the highest basis of a stop order by zone."""
+
+    def stopped_targets(self) -> collections.abc.Mapping[str, int]:
+        """Return the highest basis of a stop order by target."""
--- /dev/null
+++ b/packages/node/tests/test_control.py
@@ -0,0 +1,149 @@
+"""Tests of the control view, direct stop orders and registration."""
+
+import random
+import unittest
+
+import fold_log
+
+from quetzalward_core import agreement
+from quetzalward_core import clock
+from quetzalward_core import testing
+from quetzalward_node import control
+from quetzalward_node import interfaces
+
+
+def _joined(name: str, nonce: str = "1") -> agreement.NodeJoined:
+    return agreement.NodeJoined(
+        name,
+        nonce,
+        "zone-a",
+        "r1",
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        "127.0.0.1:3",
+    )
+
+
+class _Peers:
+    def __init__(self) -> None:
+        self.stops = control.LocalStops()
+        self.isolated = False
+
+    def freshness(self) -> interfaces.Freshness:
+        return interfaces.Freshness(self.isolated, not self.isolated)
+
+    def stopped_zones(self) -> dict[str, int]:
+        return self.stops.zones()
+
+    def stopped_targets(self) -> dict[str, int]:
+        return self.stops.targets()
+
+
+class _Fleet:
+    def __init__(self) -> None:
+        self.age_ms_by_node: dict[str, int] = {}
+
+    def status_by_node(self) -> dict[str, interfaces.PeerStatus]:
+        return {
+            name: interfaces.PeerStatus(0, age)
+            for name, age in self.age_ms_by_node.items()
+        }
+
+
+class ControlViewTest(unittest.TestCase):
+    """Guards what routing is told about zones, drains and freshness."""
+
+    def setUp(self) -> None:
+        self.log = fold_log.FoldLog()
+        self.peers = _Peers()
+        self.holder = control.ConfigurationHolder(self.log.state)
+        self.source = control.ControlViewSource(
+            self.log.state, self.holder, self.peers
+        )
+
+    def test_same_object_until_something_changes(self) -> None:
+        first = self.source.view()
+        self.assertIs(self.source.view(), first)
+        self.peers.isolated = True
+        self.assertTrue(self.source.view().isolated)
+        self.assertIsNot(self.source.view(), first)
+
+    def test_direct_stop_is_in_force_until_a_newer_bring_back(self) -> None:
+        self.peers.stops.stop_zone("zone-a", 0)
+        self.assertEqual(self.source.view().zones_out, {"zone-a"})
+        self.log.append([agreement.ZoneSet("zone-a", "out", 0, "ops")], 0)
+        changed = self.log.state().zones_by_name["zone-a"].changed
+        self.log.append([agreement.ZoneSet("zone-a", "in", changed, "ops")], 0)
+        self.assertEqual(self.source.view().zones_out, frozenset())
+
+    def test_late_stop_on_an_old_basis_does_not_stop_again(self) -> None:
+        self.log.append([agreement.ZoneSet("zone-a", "out", 0, "ops")], 0)
+        changed = self.log.state().zones_by_name["zone-a"].changed
+        self.log.append([agreement.ZoneSet("zone-a", "in", changed, "ops")], 0)
+        self.peers.stops.stop_zone("zone-a", 0)
+        self.assertEqual(self.source.view().zones_out, frozenset())
+
+    def test_stop_on_the_bring_back_is_in_force(self) -> None:
+        self.log.append([agreement.ZoneSet("zone-a", "out", 0, "ops")], 0)
+        changed = self.log.state().zones_by_name["zone-a"].changed
+        self.log.append([agreement.ZoneSet("zone-a", "in", changed, "ops")], 0)
+        back = self.log.state().zones_by_name["zone-a"].changed
+        self.peers.stops.stop_zone("zone-a", back)
+        self.assertEqual(self.source.view().zones_out, {"zone-a"})
+
+    def test_unreadable_revision_leaves_the_one_before_in_force(self) -> None:
+        good = testing.config_document()
+        self.log.append([agreement.ConfigProposed(0, good, "ops")], 0)
+        revision = self.holder.revision()
+        self.assertIn("draft", self.holder.current().models)
+        bad = agreement.ConfigProposed(revision, {"new_section": {}}, "ops")
+        self.log.append([bad], 0)
+        self.assertIn("draft", self.holder.current().models)
+        self.assertEqual(self.holder.revision(), revision)
+
+
+class RegistrationTest(unittest.TestCase):
+    """Guards the count of nodes behind the majority rule."""
+
+    def setUp(self) -> None:
+        self.log = fold_log.FoldLog()
+        self.fleet = _Fleet()
+        self.time = clock.ManualClock()
+        self.registration = control.Registration(
+            self.log,
+            _joined("node-1"),
+            self.fleet,
+            self.time,
+            random.Random(1),
+        )
+        for name in ("node-1", "node-2", "node-3"):
+            self.log.append([_joined(name)], 0)
+
+    def check(self) -> set[str]:
+        self.registration._check()
+        return set(self.log.state().nodes_by_name)
+
+    def test_silent_node_is_expired_by_a_node_that_hears_others(self) -> None:
+        self.check()
+        self.time.advance(80_000)
+        self.fleet.age_ms_by_node = {"node-2": 100, "node-3": 80_000}
+        self.assertEqual(self.check(), {"node-1", "node-2"})
+
+    def test_node_that_hears_nobody_expires_nobody(self) -> None:
+        self.check()
+        self.time.advance(80_000)
+        self.fleet.age_ms_by_node = {"node-2": 80_000, "node-3": 80_000}
+        self.assertEqual(self.check(), {"node-1", "node-2", "node-3"})
+
+    def test_node_that_never_spoke_is_given_time_from_first_sight(
+        self,
+    ) -> None:
+        self.fleet.age_ms_by_node = {"node-2": 100}
+        self.assertEqual(len(self.check()), 3)
+        self.time.advance(80_000)
+        self.assertEqual(self.check(), {"node-1", "node-2"})
+
+    def test_expired_node_joins_again(self) -> None:
+        self.log.append([agreement.NodeExpired("node-1", "1")], 0)
+        self.assertFalse(self.registration.registered())
+        self.assertIn("node-1", self.check())
