Demo, checked callers and tests of the stand-ins

Cause: the demo needs callers that check every token and booking, and other tests rely on the stand-ins' rules.

--- a/packages/standins/src/quetzalward_standins/__main__.py
+++ b/packages/standins/src/quetzalward_standins/__main__.py
@@ -1,5 +1,7 @@
 """Commands: the launcher, the demo and the two stand-in processes."""
 
+import sys
+
 import fire
 
 from quetzalward_standins import _launcher
@@ -13,6 +15,10 @@
         """Run a cluster until Ctrl-C or SIGTERM."""
         _launcher.run_cluster()
 
+    def demo(self) -> None:
+        """Run the demo; exit with status 1 if anything failed."""
+        sys.exit(_launcher.run_demo())
+
     def platform(self) -> None:
         """Run log, weight store and service."""
         _processes.run_platform()
--- a/packages/standins/src/quetzalward_standins/_engine_http.py
+++ b/packages/standins/src/quetzalward_standins/_engine_http.py
@@ -46,11 +46,11 @@
         if request.path != "/hosts":
             return _http.error_response(404, "not_found")
         switches = self._fleet.switches
-        if request.client in switches.cut_clients:
+        if request.client in switches.hosts_cut_clients:
             raise _http.DropConnection
         if switches.hosts_outage:
             return _http.error_response(503, "outage")
-        return _http.json_response(200, self._fleet.host_list())
+        return _http.json_response(200, self._fleet.host_list(request.client))
 
     def _handle_host(
         self, host: _fleet.Host, path: str, request: _http.Request
@@ -76,11 +76,15 @@
             cancelled = target.cancel(request_id)
             return _http.json_response(200, {"cancelled": cancelled})
         if path in ("/v1/completions", "/v1/chat/completions"):
-            return self._answer(target, path, request)
+            return self._answer(host, target, path, request)
         return _http.error_response(404, "not_found")
 
     def _answer(
-        self, target: _target.Target, path: str, request: _http.Request
+        self,
+        host: _fleet.Host,
+        target: _target.Target,
+        path: str,
+        request: _http.Request,
     ) -> _http.Response:
         request_id = request.headers.get("x-request-id", "")
         request_id = request_id or f"engine-{next(self._numbers)}"
@@ -95,17 +99,27 @@
             return _http.error_response(error.status, error.error)
         tokens = _openai.tokens_of(target, draft.sequence, request)
         if not draft.stream:
-            return _openai.json_answer(draft, tokens)
+            response = _openai.json_answer(draft, tokens)
+            return self._unless_gone(host, response)
         # The status line waits for the first token, so that a request that
         # fails before it gets an error status.
         first = next(tokens, None)
         if first == []:
-            return _http.error_response(500, "engine_failed")
+            response = _http.error_response(500, "engine_failed")
+            return self._unless_gone(host, response)
         chunks = _openai.stream_answer(draft, first, tokens)
         return _http.Response(
             200, content_type="text/event-stream", chunks=chunks
         )
 
+    def _unless_gone(
+        self, host: _fleet.Host, response: _http.Response
+    ) -> _http.Response:
+        """Return the response unless its host has died meanwhile."""
+        if host.state == _fleet.DEAD:
+            raise _http.DropConnection
+        return response
+
     def _handle_faults(self, request: _http.Request) -> _http.Response:
         if request.method == "POST":
             self.apply_fault(request.document())
--- a/packages/standins/src/quetzalward_standins/_fleet.py
+++ b/packages/standins/src/quetzalward_standins/_fleet.py
@@ -39,7 +39,6 @@
     """One accelerator host and what its process knows."""
 
     spec: HostSpec
-    url: str
     incarnation: int = 1
     state: str = LIVE
     paused: bool = False
@@ -97,8 +96,9 @@
     hosts_outage: bool = False
     # The host list keeps answering with what it had, and its age grows.
     hosts_frozen: bool = False
-    # Clients (`/c/{client}` prefix) whose connections are dropped.
+    # Clients (`/c/{client}` prefix) that the engines or the host list drop.
     cut_clients: list[str] = attrs.field(factory=list)
+    hosts_cut_clients: list[str] = attrs.field(factory=list)
 
 
 class Fleet:
@@ -115,7 +115,7 @@
         self.clock = source
         self.lock = threading.RLock()
         self.resumed = threading.Condition(self.lock)
-        self.hosts = {spec.name: Host(spec, "") for spec in specs}
+        self.hosts = {spec.name: Host(spec) for spec in specs}
         self.groups: dict[str, Group] = {}
         self._past_counts: collections.Counter[str] = collections.Counter()
         self.switches = Switches(
@@ -123,14 +123,14 @@
             report_lag_ms=settings.report_lag_ms,
             hosts_lag_ms=settings.hosts_lag_ms,
         )
+        self._base_url = ""
         self._frozen_ms: clock.Millis | None = None
         self._lists: collections.deque[tuple[clock.Millis, list[_http.Json]]]
         self._lists = collections.deque(maxlen=KEPT_LISTS)
 
     def publish(self, base_url: str) -> None:
-        """Set the hosts' URLs, and start the host list and the reports."""
-        for name, host in self.hosts.items():
-            host.url = f"{base_url}/h/{name}"
+        """Set the engines' URL, and start the host list and the reports."""
+        self._base_url = base_url
         # The first list counts as old, so that readers see it at once.
         self._lists.append((self.clock.now_ms() - 3_600_000, self._listing()))
         threading.Thread(target=self._run_reports, daemon=True).start()
@@ -144,8 +144,12 @@
                 self._frozen_ms = None
             self.switches = switches
 
-    def host_list(self) -> dict[str, _http.Json]:
-        """Return the list of live and leaving hosts as of the lag ago."""
+    def host_list(self, client: str = "") -> dict[str, _http.Json]:
+        """Return the list of live and leaving hosts as of the lag ago.
+
+        A named client gets engine URLs that carry its name, so that
+        `cut_clients` can cut it off from the engines too.
+        """
         with self.lock:
             now_ms = self.clock.now_ms()
             as_of_ms = now_ms - self.switches.hosts_lag_ms
@@ -155,7 +159,18 @@
             for changed_ms, candidate in self._lists:
                 if changed_ms <= as_of_ms:
                     listing = candidate
-            return {"age_ms": now_ms - as_of_ms, "hosts": listing}
+            prefix = f"{self._base_url}{_http.CLIENT_PREFIX}{client}"
+            hosts = [
+                {
+                    **entry,
+                    "engine_url": (
+                        f"{prefix if client else self._base_url}"
+                        f"/h/{entry['host']}"
+                    ),
+                }
+                for entry in listing
+            ]
+            return {"age_ms": now_ms - as_of_ms, "hosts": hosts}
 
     def report(self, host: Host) -> dict[str, _http.Json]:
         """Return the report of a host's group, as of about the lag ago."""
@@ -164,6 +179,8 @@
             if group is None:
                 return {"age_ms": 0, **self._empty_report(host)}
             now_ms = self.clock.now_ms()
+            if self.switches.report_lag_ms == 0:
+                return {"age_ms": 0, **self._full_report(group)}
             found = None
             for made_ms, report in group.reports:
                 if made_ms <= now_ms - self.switches.report_lag_ms:
@@ -298,7 +315,6 @@
                 "domain": host.spec.domain,
                 "incarnation": host.incarnation,
                 "state": host.state,
-                "engine_url": host.url,
             }
             for host in self.hosts.values()
             if host.state != DEAD
--- a/packages/standins/src/quetzalward_standins/_launcher.py
+++ b/packages/standins/src/quetzalward_standins/_launcher.py
@@ -7,6 +7,7 @@
 import typing
 
 from quetzalward_standins import cluster
+from quetzalward_standins import demo
 
 
 class Stopped(Exception):
@@ -41,3 +42,13 @@
         sys.exit(f"cluster: {error}")
     finally:
         running.stop()
+
+
+def run_demo() -> int:
+    """Run the demo; return the exit status."""
+    stop_on_signals()
+    try:
+        return 1 if demo.run() else 0
+    except Stopped:
+        print("demo: stopped by a signal", file=sys.stderr)
+        return 1
--- a/packages/standins/src/quetzalward_standins/_orders.py
+++ b/packages/standins/src/quetzalward_standins/_orders.py
@@ -44,7 +44,7 @@
 
 
 class OrderBook:
-    """Carries out orders; a repeated order id gets its first answer."""
+    """Carries out orders; a repeat of an accepted one has no effect."""
 
     def __init__(self, fleet: _fleet.Fleet, weights_url: str) -> None:
         """Use the weight store at `weights_url` for loads."""
@@ -65,6 +65,8 @@
             response = self._check_fencing(host, order)
             if response is None:
                 response = self._carry_out(host, order)
+            if response.status >= 300:
+                return response
             self._results[order.order_id] = response
             if len(self._results) > KEPT_RESULTS:
                 self._results.popitem(last=False)
--- a/packages/standins/src/quetzalward_standins/_platform.py
+++ b/packages/standins/src/quetzalward_standins/_platform.py
@@ -126,7 +126,7 @@
             return self._book(request)
         match = _BOOKING.fullmatch(request.path)
         if match and request.method == "GET":
-            return self._status(match[1])
+            return self._status(match[1].strip('"'))
         return self._echo(request)
 
     def set_faults(self, changes: dict[str, _http.Json]) -> None:
@@ -138,7 +138,8 @@
 
     def _book(self, request: _http.Request) -> _http.Response:
         faults = self.faults
-        key = request.headers.get("idempotency-key", "")
+        # The header's value is a quoted string in the IETF draft.
+        key = request.headers.get("idempotency-key", "").strip('"')
         time.sleep(faults.before_ms / 1000)
         with self._lock:
             self.executions[key] += 1
