--- a/packages/core/src/quetzalward_core/agreement/__init__.py
+++ b/packages/core/src/quetzalward_core/agreement/__init__.py
@@ -14,6 +14,9 @@
 from quetzalward_core.agreement._codec import MAX_BATCH_BYTES
 from quetzalward_core.agreement._control import ControlState
 from quetzalward_core.agreement._fold import Fold
+from quetzalward_core.agreement._intents import Decision
+from quetzalward_core.agreement._intents import IntentBook
+from quetzalward_core.agreement._intents import IntentState
 from quetzalward_core.agreement._leases import challenger_may_claim
 from quetzalward_core.agreement._leases import HeldLease
 from quetzalward_core.agreement._leases import holder_may_order
@@ -90,6 +93,7 @@
     "ConfigRevision",
     "ControlState",
     "ControlView",
+    "Decision",
     "Drain",
     "Entry",
     "EntryResult",
@@ -102,6 +106,8 @@
     "Host",
     "HostAdmitted",
     "HostRemoved",
+    "IntentBook",
+    "IntentState",
     "KIND_BY_CLASS",
     "KeyState",
     "LEASE_DURATION_MS",
--- a/packages/core/src/quetzalward_core/agreement/_leases.py
+++ b/packages/core/src/quetzalward_core/agreement/_leases.py
@@ -96,6 +96,10 @@
         """Tell whether the fold still names this claim."""
         return lease is not None and lease.epoch == self.epoch
 
+    def held(self, now_ms: int) -> bool:
+        """Tell whether the lease lasts, by this node's own clock alone."""
+        return now_ms < self.append_started_ms + self.duration_ms
+
     def should_renew(self, now_ms: int) -> bool:
         """Tell whether the next renewal is due."""
         return holder_should_renew(self.append_started_ms, now_ms)
--- a/packages/core/src/quetzalward_core/agreement/_snapshots.py
+++ b/packages/core/src/quetzalward_core/agreement/_snapshots.py
@@ -28,13 +28,15 @@
     data: bytes
 
 
-def split_snapshot(snapshot: Snapshot) -> list[_records.SnapshotPart]:
+def split_snapshot(
+    snapshot: Snapshot, part_chars: int = MAX_PART_CHARS
+) -> list[_records.SnapshotPart]:
     """Return the parts of a snapshot, each to be appended alone."""
     packed = zlib.compress(snapshot.data, _COMPRESSION_LEVEL)
     text = base64.b64encode(packed).decode("ascii")
     chunks = [
-        text[start : start + MAX_PART_CHARS]
-        for start in range(0, len(text), MAX_PART_CHARS)
+        text[start : start + part_chars]
+        for start in range(0, len(text), part_chars)
     ]
     return [
         _records.SnapshotPart(
--- /dev/null
+++ b/packages/core/tests/test_agreement_control_fuzz.py
@@ -0,0 +1,379 @@
+"""Fuzzing of the control fold, leases and groups against plain oracles."""
+
+import math
+import typing
+import unittest
+
+import attrs
+from hypothesis import stateful
+from hypothesis import strategies
+
+import agreement_oracle
+import agreement_world
+from quetzalward_core import agreement
+
+LEASE = "zone/a"
+HOSTS = tuple(f"h{number}" for number in range(5))
+GROUPS = ("g1", "g2", "g3")
+EVENTS = sorted(
+    {
+        event
+        for by_event in agreement_oracle.LIVE_EVENTS.values()
+        for event in by_event
+    }
+)
+# Clock rates that differ by less than the margin of 5%.
+RATES = (0.976, 1.0, 1.024)
+DURATION_MS = agreement.LEASE_DURATION_MS
+NODES = agreement_world.NODES
+FAULT = agreement_world.FAULT
+
+
+class SimNode:
+    """A node with a clock of its own; it may be cut off or paused."""
+
+    def __init__(
+        self,
+        world: agreement_world.World[agreement.ControlState],
+        number: int,
+        start: int,
+    ) -> None:
+        self.world = world
+        self.rate = RATES[number]
+        self.name = f"n{number}"
+        self.reader = agreement_world.Reader(world)
+        writer = agreement.writer_name(self.name, str(start))
+        self.writer = agreement_world.Writer(world, self.reader, writer)
+        self.cut = False
+        self.watch = agreement.LeaseWatch()
+        self.held: agreement.HeldLease | None = None
+        # Lease entries in flight: sequence number to append start.
+        self.started_ms_by_seq: dict[int, int] = {}
+        # Fencing tokens of orders that were checked and not yet sent.
+        self.checked: list[int] = []
+        self.revision = 0
+
+    def now_ms(self) -> int:
+        return int(self.world.time_ms * self.rate)
+
+    def lease(self) -> agreement.Lease | None:
+        return self.reader.fold.view().leases_by_resource.get(LEASE)
+
+    def submit(self, fault: str, *entries: agreement.Entry) -> int | None:
+        if self.cut:
+            return None
+        if self.writer.pending is not None and not self.world.out:
+            self.writer.attempt("none")
+            self.read(100)
+        seq = self.writer.submit(*entries)
+        self.writer.attempt(fault)
+        return seq
+
+    def read(self, limit: int) -> None:
+        if self.cut or self.world.out:
+            return
+        for result in self.writer.read(limit):
+            started_ms = self.started_ms_by_seq.pop(result.seq, None)
+            own = result.writer == self.writer.name and result.void is None
+            if own and started_ms is not None:
+                self.lease_result(result.results[0], started_ms)
+        self.observe()
+
+    def observe(self) -> None:
+        self.watch.observe(self.lease(), self.now_ms())
+        if self.held and not self.held.current(self.lease()):
+            self.held = None
+        revision = self.reader.fold.view().config_revision
+        assert revision >= self.revision, "configuration moved back"
+        self.revision = revision
+
+    def lease_result(
+        self, result: agreement.EntryResult, started_ms: int
+    ) -> None:
+        if not isinstance(result, agreement.Accepted):
+            return
+        if self.held is None:
+            self.held = agreement.HeldLease(
+                LEASE, result.position, DURATION_MS, started_ms, self.now_ms()
+            )
+        else:
+            self.held.renewed(started_ms)
+
+    def may_order(self) -> bool:
+        held = self.held
+        return held is not None and held.may_order(self.lease(), self.now_ms())
+
+    def loaded_snapshot(self) -> None:
+        self.observe()
+
+
+@attrs.frozen
+class Order:
+    """An order that an engine took."""
+
+    epoch: int
+    sent_ms: int
+    paused: bool
+
+
+class ControlMachine(agreement_world.FaultMachine):
+    """Nodes that append, read, lose their lease, pause and restart."""
+
+    fold_class = agreement.ControlState
+
+    def prepare(self) -> None:
+        self.oracle = agreement_oracle.ControlOracle()
+        self.world.on_result.append(self.oracle.check)
+        self.orders: list[Order] = []
+
+    def make_node(self, number: int, start: int) -> SimNode:
+        return SimNode(self.world, number, start)
+
+    @stateful.rule(number=NODES)
+    def advance_to_the_claim(self, number: int) -> None:
+        node = self.nodes[number]
+        lease = node.lease()
+        if lease is None:
+            return
+        due = agreement.with_margin(lease.duration_ms) + node.watch.seen_ms
+        due_ms = math.ceil(due / node.rate)
+        self.world.time_ms = max(self.world.time_ms, due_ms)
+
+    # Entries.
+
+    @stateful.initialize(admitted=strategies.integers(3, len(HOSTS)))
+    def admit_hosts(self, admitted: int) -> None:
+        node = self.nodes[0]
+        hosts = HOSTS[:admitted]
+        node.submit("none", *(agreement.HostAdmitted(h, 1) for h in hosts))
+        for other in self.nodes:
+            other.read(10)
+
+    @stateful.rule(
+        number=NODES,
+        turns=strategies.integers(1, 7),
+        faults=strategies.lists(FAULT, min_size=7, max_size=7),
+    )
+    def manage(self, number: int, turns: int, faults: list[str]) -> None:
+        """Claim or renew every 1.5 s and read, as a healthy node does."""
+        for fault in faults[:turns]:
+            self.claim(number, fault)
+            self.nodes[number].read(100)
+            self.world.time_ms += 1_500
+            self.renew(number, fault)
+            self.nodes[number].read(100)
+
+    @stateful.rule(number=NODES, fault=FAULT)
+    def claim(self, number: int, fault: str) -> None:
+        node = self.nodes[number]
+        lease = node.lease()
+        if node.held is not None:
+            return
+        if not node.watch.may_claim(lease, node.now_ms()):
+            return
+        expected = lease.renewed if lease else 0
+        entry = agreement.LeaseClaimed(
+            LEASE, node.writer.name, expected, DURATION_MS
+        )
+        self.submit_lease(node, fault, entry)
+
+    @stateful.rule(number=NODES, fault=FAULT)
+    def renew(self, number: int, fault: str) -> None:
+        node = self.nodes[number]
+        if node.held is not None:
+            entry = agreement.LeaseRenewed(
+                LEASE, node.writer.name, node.held.epoch
+            )
+            self.submit_lease(node, fault, entry)
+
+    def submit_lease(
+        self, node: SimNode, fault: str, entry: agreement.Entry
+    ) -> None:
+        started_ms = node.now_ms()
+        seq = node.submit(fault, entry)
+        if seq is not None:
+            node.started_ms_by_seq[seq] = started_ms
+
+    @stateful.rule(number=NODES, fault=FAULT)
+    def release(self, number: int, fault: str) -> None:
+        node = self.nodes[number]
+        if node.held is None or node.writer.pending is not None:
+            return
+        entry = agreement.LeaseReleased(
+            LEASE, node.writer.name, node.held.epoch
+        )
+        if node.submit(fault, entry) is not None:
+            node.held = None
+
+    @stateful.rule(
+        number=NODES,
+        fault=FAULT,
+        wanted=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(GROUPS),
+                strategies.lists(strategies.sampled_from(HOSTS), max_size=3),
+            ),
+            min_size=1,
+            max_size=3,
+        ),
+        stale=strategies.integers(0, 9),
+    )
+    def form(
+        self,
+        number: int,
+        fault: str,
+        wanted: list[tuple[str, list[str]]],
+        stale: int,
+    ) -> None:
+        """Form groups in one batch; they may want the same hosts."""
+        node = self.nodes[number]
+        if node.lease() is None:
+            self.claim(number, fault)
+            node.read(100)
+        hosts_by_id = node.reader.fold.view().hosts_by_id
+        lease = node.lease()
+        epoch = lease.epoch if lease and stale else stale
+        entries = []
+        for group, hosts in wanted:
+            known = [hosts_by_id.get(host) for host in hosts]
+            members = tuple(
+                agreement.GroupHost(name, host.incarnation if host else 1)
+                for name, host in zip(hosts, known, strict=True)
+            )
+            entries.append(
+                agreement.GroupFormed(
+                    group, "m", "d", "a", members, LEASE, epoch
+                )
+            )
+        node.submit(fault, *entries)
+
+    @stateful.rule(
+        number=NODES,
+        fault=FAULT,
+        choices=strategies.lists(
+            strategies.integers(0, 20), min_size=1, max_size=5
+        ),
+    )
+    def step_groups(self, number: int, fault: str, choices: list[int]) -> None:
+        """Append events, more often than not such that the chart lists."""
+        node = self.nodes[number]
+        lease = node.lease()
+        groups = list(node.reader.fold.view().groups_by_id.values())
+        entries = []
+        for choice in choices if groups else ():
+            group = groups[choice % len(groups)]
+            event = EVENTS[choice % len(EVENTS)]
+            if choice % 4:
+                listed = sorted(agreement_oracle.LIVE_EVENTS[group.state])
+                event = listed[choice % len(listed)]
+            epoch = lease.epoch if lease else 0
+            entries.append(
+                agreement.GroupStateChanged(
+                    group.group, group.epoch, event, epoch
+                )
+            )
+        if entries:
+            node.submit(fault, *entries)
+            node.read(100)
+
+    @stateful.rule(number=NODES, fault=FAULT, data=strategies.data())
+    def operate(self, number: int, fault: str, data: typing.Any) -> None:
+        """Append something that operators or the host list cause."""
+        node = self.nodes[number]
+        view = node.reader.fold.view()
+        zone = view.zones_by_name.get("a")
+        drain = view.drains_by_target.get("t")
+        host = data.draw(strategies.sampled_from(HOSTS[2:]))
+        incarnation = data.draw(strategies.integers(1, 3))
+        nonce = data.draw(strategies.sampled_from(("1", "2")))
+        entries: list[agreement.Entry] = [
+            agreement.ConfigProposed(
+                view.config_revision, {"by": node.name}, node.name
+            ),
+            agreement.ZoneSet("a", "out", 0, node.name),
+            agreement.ZoneSet("a", "in", zone.changed if zone else 0, "o"),
+            agreement.TargetDrainSet("t", True, 0, "o"),
+            agreement.TargetDrainSet(
+                "t", False, drain.changed if drain else 0, "o"
+            ),
+            agreement.HostAdmitted(host, incarnation),
+            agreement.HostAdmitted(host, incarnation),
+            agreement.HostRemoved(host, incarnation),
+            agreement.NodeJoined("n", nonce, "a", "r", "c", "p", "o"),
+            agreement.NodeLeft("n", nonce),
+            agreement.NodeExpired("n", nonce),
+            agreement.CallUnknown("x/1", "c", "k"),
+        ]
+        chosen = data.draw(
+            strategies.lists(
+                strategies.sampled_from(entries), min_size=1, max_size=4
+            )
+        )
+        node.submit(fault, *chosen)
+
+    # Orders to an engine that honours the fencing token.
+
+    @stateful.rule(number=NODES)
+    def check_order(self, number: int) -> None:
+        node = self.nodes[number]
+        if node.may_order():
+            assert node.held is not None
+            node.checked.append(node.held.epoch)
+
+    @stateful.rule(number=NODES)
+    def send_checked_order(self, number: int) -> None:
+        """Send an order after a pause of any length since its check."""
+        node = self.nodes[number]
+        if node.checked:
+            self.engine(node.checked.pop(0), True)
+
+    @stateful.rule(number=NODES)
+    def order_at_once(self, number: int) -> None:
+        node = self.nodes[number]
+        if node.may_order():
+            assert node.held is not None
+            assert self.engine(node.held.epoch, False), "current order refused"
+
+    def engine(self, epoch: int, paused: bool) -> bool:
+        if self.orders and epoch < max(o.epoch for o in self.orders):
+            return False
+        now_ms = self.world.time_ms
+        for order in self.orders:
+            if order.epoch < epoch and not order.paused and not paused:
+                # Also an engine that ignores the token has done with it.
+                ended_ms = order.sent_ms + agreement.ORDER_LIFETIME_MS
+                assert ended_ms <= now_ms, "orders of two holders overlap"
+        self.orders.append(Order(epoch, now_ms, paused))
+        return True
+
+    @stateful.invariant()
+    def one_holder(self) -> None:
+        holders = [
+            node.name
+            for node in self.nodes
+            if node.held is not None and node.held.held(node.now_ms())
+        ]
+        assert len(holders) <= 1, f"two holders: {holders}"
+
+    @stateful.invariant()
+    def no_host_in_two_groups(self) -> None:
+        view = self.world.reference.view()
+        hosts = [
+            member.host
+            for group in view.groups_by_id.values()
+            for member in group.hosts
+        ]
+        assert len(hosts) == len(set(hosts)), f"host in two groups: {hosts}"
+        for host in hosts:
+            assert view.group_of_host(host) is not None
+
+
+class ControlFuzzTest(unittest.TestCase):
+    """Guards R2, R10, the leases and equal folds under drawn faults."""
+
+    def test_control(self) -> None:
+        agreement_world.run_machine(ControlMachine)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/node/src/quetzalward_node/log/_calls.py
+++ b/packages/node/src/quetzalward_node/log/_calls.py
@@ -1,7 +1,6 @@
 """Calls that run at most once, on the call streams."""
 
 import base64
-import itertools
 import random
 import threading
 import typing
@@ -22,7 +21,18 @@
 _IN_PROGRESS_RETRY_MS = 1_000
 
 _Kind = errors.ErrorKind
+_UNKNOWN = errors.Outcome.UNKNOWN
 _Answer = interfaces.DispatcherAnswer
+_State = agreement.IntentState
+_ANSWER_BY_STATE = {
+    _State.CLAIMING: _Answer.IN_PROGRESS,
+    _State.DISPATCHED: _Answer.IN_PROGRESS,
+    # The one who asks has not read the record yet that ended the intent.
+    _State.ENDED: _Answer.IN_PROGRESS,
+    _State.ABANDONED: _Answer.ABANDONED,
+    _State.UNKNOWN: _Answer.UNKNOWN,
+    _State.FOREIGN: _Answer.UNKNOWN,
+}
 CallsTask = _stream.StreamTask[agreement.CallState]
 
 
@@ -57,10 +67,8 @@
         self._dispatchers = dispatchers
         self._status = status
         self._settings = settings
-        self._numbers = itertools.count(1)
         self._lock = threading.Lock()
-        # What this process knows of its own intents, until the log says it.
-        self._answers_by_intent: dict[str, _Answer] = {}
+        self._book = agreement.IntentBook(writer)
 
     def start(self) -> None:
         """Start the threads of all call streams."""
@@ -118,11 +126,14 @@
 
     def abandon(self, started: interfaces.StartedCall) -> None:
         """Record that the call was never dispatched, which frees the key."""
-        self._abandon(started.intent_id, started.call)
+        with self._lock:
+            self._book.abandon(started.intent_id)
+        self._record_abandoned(started.intent_id, started.call)
 
     def mark_unknown(self, started: interfaces.StartedCall) -> None:
         """Record that the call was dispatched and its outcome is unknown."""
-        self._set_answer(started.intent_id, _Answer.UNKNOWN)
+        with self._lock:
+            self._book.mark_unknown(started.intent_id)
         call = started.call
         entry = agreement.CallUnknown(
             started.intent_id, call.customer, call.key
@@ -132,14 +143,8 @@
     def answer(self, intent_id: str) -> _Answer:
         """Tell what became of one of this process's intents."""
         with self._lock:
-            known = self._answers_by_intent.get(intent_id)
-        if known is not None:
-            return known
-        # The record that ended an own intent is on the log already; the one
-        # who asks has not read that far.
-        if intent_id.startswith(f"{self._writer}/"):
-            return _Answer.IN_PROGRESS
-        return _Answer.UNKNOWN
+            state = self._book.state(intent_id)
+        return _ANSWER_BY_STATE[state]
 
     def _task(self, call: interfaces.KeyedCall) -> CallsTask:
         streams = len(self.tasks_by_stream)
@@ -148,8 +153,6 @@
 
     def _lookup(self, call: interfaces.KeyedCall) -> agreement.CallKey | None:
         reader = self._task(call).reader
-        if reader.head_age_ms() > MAX_HEAD_AGE_MS:
-            raise _not_run("this node cannot read the log's head")
         with reader.changed:
             return reader.fold.lookup(call.customer, call.key)
 
@@ -157,37 +160,51 @@
         self, call: interfaces.KeyedCall
     ) -> interfaces.StartedCall | None:
         """Claim an absent key; `None` if another intent was first."""
-        intent_id = f"{self._writer}/{next(self._numbers)}"
-        self._set_answer(intent_id, _Answer.IN_PROGRESS)
-        appender = self._task(call).appender
-        intent = agreement.CallIntent(
-            intent_id,
-            call.customer,
-            call.key,
-            call.fingerprint,
-            self._writer,
-            self._settings().retention_ms,
-        )
+        task = self._task(call)
+        if task.reader.head_age_ms() > MAX_HEAD_AGE_MS:
+            raise _not_run("this node cannot read the log's head")
+        with self._lock:
+            intent = self._book.open(
+                call.customer,
+                call.key,
+                call.fingerprint,
+                self._settings().retention_ms,
+            )
+        result, failure = self._append(task, intent, call.deadline_ms)
+        maybe = failure is not None and failure.outcome is _UNKNOWN
+        with self._lock:
+            decision = self._book.decide(
+                intent.intent_id,
+                result,
+                maybe,
+                self._clock.now_ms() < call.deadline_ms,
+            )
+        if decision is agreement.Decision.DISPATCH:
+            return interfaces.StartedCall(intent.intent_id, call)
+        if decision is agreement.Decision.TAKEN:
+            return None
+        if decision is agreement.Decision.GIVE_UP:
+            self._record_abandoned(intent.intent_id, call)
+        detail = failure.detail if failure else "not read back in time"
+        raise _not_run(detail)
+
+    def _append(
+        self,
+        task: CallsTask,
+        intent: agreement.CallIntent,
+        deadline_ms: clocks.Millis,
+    ) -> tuple[agreement.EntryResult | None, errors.QuetzalwardError | None]:
+        """Append an intent; return its result, or why there is none."""
         try:
-            request = appender.submit([intent], call.deadline_ms)
-            (result,) = appender.wait(request)
+            request = task.appender.submit([intent], deadline_ms)
+            (result,) = task.appender.wait(request)
         except errors.QuetzalwardError as error:
-            # Whatever the log says later, this process will not dispatch.
-            if error.outcome is errors.Outcome.UNKNOWN:
-                self._abandon(intent_id, call)
-            else:
-                self._forget(intent_id)
-            raise _not_run(error.detail) from error
-        if isinstance(result, agreement.Void):
-            self._forget(intent_id)
-            return None
-        if self._clock.now_ms() >= call.deadline_ms:
-            self._abandon(intent_id, call)
-            raise _not_run("the deadline passed before the intent was read")
-        return interfaces.StartedCall(intent_id, call)
+            return None, error
+        return result, None
 
-    def _abandon(self, intent_id: str, call: interfaces.KeyedCall) -> None:
-        self._set_answer(intent_id, _Answer.ABANDONED)
+    def _record_abandoned(
+        self, intent_id: str, call: interfaces.KeyedCall
+    ) -> None:
         entry = agreement.CallAbandoned(intent_id, call.customer, call.key)
         self._record(call, entry)
 
@@ -204,7 +221,8 @@
 
         def forget(request: _appender.Request) -> None:
             if request.error is None:
-                self._forget(entry.intent_id)
+                with self._lock:
+                    self._book.ended(entry.intent_id)
 
         self._task(call).appender.submit([entry], None, forget)
 
@@ -253,14 +271,6 @@
             _Kind.OUTCOME_UNKNOWN, f"no outcome known for key {call.key!r}"
         )
 
-    def _set_answer(self, intent_id: str, answer: _Answer) -> None:
-        with self._lock:
-            self._answers_by_intent[intent_id] = answer
-
-    def _forget(self, intent_id: str) -> None:
-        with self._lock:
-            self._answers_by_intent.pop(intent_id, None)
-
 
 def _kept(known: agreement.CallKey) -> interfaces.CallResult:
     """Return the kept answer, or raise if it was too large to keep."""
