Never reuse a target connection after a timeout; tests of streams

Cause: a test of a stalled engine showed its cancel call sent on the timed-out connection. urllib3 closes the response object after a timeout, and the pool took the closed response for an answer read to the end.

Change: a connection is reusable only after a read that met the end of its answer. Tests cover failover at every token position, continuation after every event, vanished and slow callers, deadlines, drain and target connections.

Conclusion: late bytes of an abandoned answer cannot reach a later request.

--- a/packages/node/src/quetzalward_node/callers/_targets.py
+++ b/packages/node/src/quetzalward_node/callers/_targets.py
@@ -68,6 +68,9 @@
     sock: socket.socket
     reused: bool
     _response: urllib3_response.HTTPResponse | None = None
+    # Set only by a read that met the end of the answer. The response object
+    # also counts as closed after a timeout.
+    _complete: bool = False
 
     def send(
         self,
@@ -82,6 +85,7 @@
         Raises `TargetTimeoutError` or `TargetBrokenError`.
         """
         self.http.timeout = _seconds(timeout_ms)
+        self._complete = False
         with _translated():
             self.http.request(
                 method,
@@ -107,17 +111,14 @@
             # file, and an answer that ends the connection closes the socket.
             if self.sock.fileno() >= 0:
                 self.sock.settimeout(_seconds(timeout_ms))
-            return response.read1(READ_BYTES, decode_content=False)
+            data = response.read1(READ_BYTES, decode_content=False)
+        self._complete = not data
+        return data
 
     @property
     def reusable(self) -> bool:
         """Return whether the answer was read to the end and may be reused."""
-        response = self._response
-        return (
-            response is not None
-            and self.http.sock is not None
-            and response.closed
-        )
+        return self._complete and self.http.sock is not None
 
     def close(self) -> None:
         """Close the connection, whatever is outstanding on it."""
--- /dev/null
+++ b/packages/node/tests/test_callers_streams.py
@@ -0,0 +1,440 @@
+"""Tests of failover, continuation and vanished callers."""
+
+import json
+import socket
+import struct
+import unittest
+
+import callers_fakes
+
+from quetzalward_core import streams
+from quetzalward_node import callers
+from quetzalward_node import interfaces
+
+PROMPT = "a quote for forty walls"
+TOTAL = 10
+OK = interfaces.AttemptResult.OK
+FAILED = interfaces.AttemptResult.FAILED
+
+
+def document(**options):
+    """Return the body of a streamed completion."""
+    return {
+        "model": "small",
+        "prompt": PROMPT,
+        "max_tokens": TOTAL,
+        "stream": True,
+        **options,
+    }
+
+
+class StreamTestCase(unittest.TestCase):
+    """Starts engines and a front; reads answers as raw events."""
+
+    def start(self, *engines, **front):
+        for engine in engines:
+            self.addCleanup(engine.close)
+        urls = [engine.url for engine in engines]
+        self.front = callers_fakes.Front(urls, **front)
+        self.addCleanup(self.front.close)
+
+    def exchange(self, body, key="key-north", **headers):
+        """Return status and body of one request on its own connection."""
+        named = {k.replace("_", "-"): v for k, v in headers.items()}
+        named["Connection"] = "close"
+        request = callers_fakes.raw_request(
+            "/v1/completions", body, key, headers=named
+        )
+        with self.front.connect() as sock:
+            sock.sendall(request)
+            data = callers_fakes.receive_all(sock)
+        head, _, rest = data.partition(b"\r\n\r\n")
+        status = int(head.split(b" ")[1])
+        if b"chunked" in head:
+            rest = b"".join(
+                part
+                for index, part in enumerate(rest.split(b"\r\n"))
+                if index % 2
+            )
+        return status, rest
+
+    def events(self, body=None, key="key-north", **headers):
+        status, data = self.exchange(body or document(), key, **headers)
+        self.assertEqual(200, status, data)
+        return streams.SseParser().feed(data)
+
+    def assert_problem(self, kind, body, key="key-north", **headers):
+        status, data = self.exchange(body, key, **headers)
+        problem = json.loads(data)
+        self.assertEqual((kind, status), (problem["kind"], problem["status"]))
+        return problem
+
+
+def text_of(events):
+    """Return the text of completion events."""
+    parts = []
+    for event in events:
+        if event.data != "[DONE]":
+            chunk = json.loads(event.data)
+            parts += [c.get("text") or "" for c in chunk["choices"]]
+    return "".join(parts)
+
+
+class FailoverTest(StreamTestCase):
+    """Guards against lost, repeated or foreign tokens after a failure."""
+
+    def assert_whole(self, *results, **options):
+        events = self.events(document(**options))
+        expected = callers_fakes.text(PROMPT, TOTAL)
+        self.assertEqual(expected, text_of(events))
+        self.assertEqual("[DONE]", events[-1].data)
+        self.assertEqual(len(events), len({e.event_id for e in events}))
+        self.assertTrue(self.front.router.wait_balanced())
+        self.assertEqual(list(results), self.front.router.results())
+        return events
+
+    def test_break_in_mid_stream_resumes_at_the_next_token(self):
+        for numbered in (True, False):
+            with self.subTest(numbered=numbered):
+                first = callers_fakes.Engine(break_after=3, numbered=numbered)
+                second = callers_fakes.Engine(break_after=4, numbered=numbered)
+                third = callers_fakes.Engine(numbered=numbered)
+                self.start(first, second, third)
+                self.assert_whole(FAILED, FAILED, OK)
+                starts = [
+                    engine.requests[0][1]["resume_from"]
+                    for engine in (first, second, third)
+                ]
+                self.assertEqual([0, 3, 7], starts)
+                seeds = {
+                    engine.requests[0][1]["seed"]
+                    for engine in (first, second, third)
+                }
+                self.assertEqual(1, len(seeds))
+
+    def test_every_break_position(self):
+        for position in range(TOTAL + 1):
+            with self.subTest(position=position):
+                self.start(
+                    callers_fakes.Engine(break_after=position),
+                    callers_fakes.Engine(),
+                )
+                if position == TOTAL:
+                    self.assert_whole(OK)
+                else:
+                    self.assert_whole(FAILED, OK)
+
+    def test_answer_that_is_not_streamed_fails_over_too(self):
+        self.start(callers_fakes.Engine(break_after=3), callers_fakes.Engine())
+        status, data = self.exchange(document(stream=False))
+        self.assertEqual(200, status)
+        answer = json.loads(data)
+        expected = callers_fakes.text(PROMPT, TOTAL)
+        self.assertEqual(expected, answer["choices"][0]["text"])
+        self.assertEqual(TOTAL, answer["usage"]["completion_tokens"])
+
+    def test_engine_that_ignores_resume_repeats_no_token(self):
+        self.start(
+            callers_fakes.Engine(break_after=3),
+            callers_fakes.Engine(ignore_resume=True),
+        )
+        self.assert_whole(FAILED, OK)
+
+    def test_missing_and_foreign_tokens_fail_the_attempt(self):
+        for script in ({"skip_index": 4}, {"foreign_after": 4}):
+            with self.subTest(script=script):
+                self.start(
+                    callers_fakes.Engine(**script), callers_fakes.Engine()
+                )
+                self.assert_whole(FAILED, OK)
+
+    def test_stalled_engine_is_left_and_told(self):
+        for stall_after in (0, 3):
+            with self.subTest(stall_after=stall_after):
+                stalled = callers_fakes.Engine(stall_after=stall_after)
+                self.start(
+                    stalled,
+                    callers_fakes.Engine(),
+                    first_token_timeout_ms=200,
+                    token_timeout_ms=200,
+                )
+                timed_out = interfaces.AttemptResult.TIMED_OUT
+                self.assert_whole(timed_out, OK)
+                self.assertTrue(stalled.wait_for(lambda: stalled.cancelled))
+                told = stalled.requests[0][2]["X-Request-Id"]
+                self.assertEqual([told], stalled.cancelled)
+
+    def test_refusing_and_dead_engines_are_skipped(self):
+        dead = callers_fakes.Engine()
+        cold = callers_fakes.Engine(status=503, error_body={"state": "cold"})
+        busy = callers_fakes.Engine(status=429)
+        self.start(dead, cold, busy, callers_fakes.Engine())
+        dead.close()
+        self.addCleanup(setattr, dead, "close", None)
+        self.assert_whole(
+            FAILED,
+            interfaces.AttemptResult.COLD,
+            interfaces.AttemptResult.REFUSED,
+            OK,
+        )
+
+    def test_connection_with_an_outstanding_answer_is_not_reused(self):
+        stalled = callers_fakes.Engine(stall_after=2)
+        self.start(stalled, token_timeout_ms=200, retries=0)
+        events = self.events()
+        self.assertEqual(2, len(events) - 1)
+        self.assertEqual("target_timeout", json.loads(events[-1].data)["kind"])
+        stalled.released.set()
+        stalled.script.stall_after = None
+        whole = self.events(document(prompt="another"))
+        self.assertEqual(callers_fakes.text("another", TOTAL), text_of(whole))
+
+
+class ExhaustedTest(StreamTestCase):
+    """Guards against a false `not_run` and against an endless retry."""
+
+    def test_budget_ends_the_attempts(self):
+        engines = [callers_fakes.Engine(break_after=0) for _ in range(4)]
+        self.start(*engines, retries=2)
+        problem = self.assert_problem("target_failed", document())
+        self.assertEqual("unknown", problem["outcome"])
+        self.assertEqual(3, len(self.front.router.granted))
+        self.assertTrue(self.front.router.wait_balanced())
+
+    def test_refused_everywhere_did_not_run(self):
+        self.start(callers_fakes.Engine(status=503))
+        problem = self.assert_problem("overloaded", document())
+        self.assertEqual("not_run", problem["outcome"])
+        self.assertTrue(problem["retryable"])
+
+    def test_no_second_target_after_a_failure_is_not_told_as_not_run(self):
+        self.start(callers_fakes.Engine(break_after=0))
+        problem = self.assert_problem("target_failed", document())
+        self.assertEqual("unknown", problem["outcome"])
+        self.assertFalse(problem["retryable"])
+
+    def test_engine_that_rejects_the_request_is_not_retried(self):
+        error = {"error": {"message": "top_k\n is unknown"}}
+        self.start(
+            callers_fakes.Engine(status=400, error_body=error),
+            callers_fakes.Engine(),
+        )
+        problem = self.assert_problem("malformed_request", document())
+        self.assertIn("top_k\\n is unknown", problem["detail"])
+        self.assertEqual(1, len(self.front.router.granted))
+
+    def test_error_in_mid_stream_can_be_continued(self):
+        self.start(callers_fakes.Engine(break_after=4), retries=0)
+        events = self.events()
+        self.assertEqual("target_failed", json.loads(events[-1].data)["kind"])
+        self.assertEqual(callers_fakes.token(PROMPT, 3), text_of(events[3:4]))
+        self.front.router.urls = [callers_fakes.Engine().url]
+        rest = self.events(Last_Event_ID=events[-1].event_id)
+        expected = callers_fakes.text(PROMPT, TOTAL, start=4)
+        self.assertEqual(expected, text_of(rest))
+
+
+class ContinuationTest(StreamTestCase):
+    """Guards against wrong events after a caller's lost connection."""
+
+    def test_exactly_the_remaining_events_after_any_event(self):
+        options = {"stream_options": {"include_usage": True}}
+        body = document(**options)
+        self.start(callers_fakes.Engine())
+        whole = self.events(body)
+        # All tokens, finish, usage and the terminal event.
+        self.assertEqual(TOTAL + 3, len(whole))
+        for index, event in enumerate(whole):
+            with self.subTest(index=index):
+                rest = self.events(body, Last_Event_ID=event.event_id)
+                expected = whole[index + 1 :]
+                self.assertEqual(
+                    [e.event_id for e in expected],
+                    [e.event_id for e in rest],
+                )
+                self.assertEqual(text_of(expected), text_of(rest))
+        self.assertTrue(self.front.router.wait_balanced())
+
+    def test_another_node_continues_with_the_same_seed(self):
+        engine = callers_fakes.Engine()
+        self.start(engine)
+        whole = self.events()
+        self.start(callers_fakes.Engine(), engine)
+        self.front.router.urls = [engine.url]
+        reordered = dict(reversed(document().items()))
+        rest = self.events(reordered, Last_Event_ID=whole[3].event_id)
+        self.assertEqual(
+            callers_fakes.text(PROMPT, TOTAL, start=4), text_of(rest)
+        )
+        seeds = {body["seed"] for _, body, _ in engine.requests}
+        self.assertEqual(1, len(seeds))
+
+    def test_chat_role_is_not_repeated(self):
+        self.start(callers_fakes.Engine())
+        body = {
+            "model": "small",
+            "messages": [{"role": "user", "content": PROMPT}],
+            "max_tokens": 3,
+            "stream": True,
+        }
+        request = callers_fakes.raw_request
+        seen = []
+        for headers in ({}, None):
+            if headers is None:
+                headers = {"Last-Event-ID": seen[0][0].event_id}
+            headers["Connection"] = "close"
+            with self.front.connect() as sock:
+                sock.sendall(
+                    request("/v1/chat/completions", body, headers=headers)
+                )
+                data = callers_fakes.receive_all(sock)
+            rest = data.partition(b"\r\n\r\n")[2].split(b"\r\n")[1::2]
+            seen.append(streams.SseParser().feed(b"".join(rest)))
+        self.assertIn("role", seen[0][0].data)
+        self.assertEqual(
+            [e.event_id for e in seen[0][1:]], [e.event_id for e in seen[1]]
+        )
+        self.assertNotIn("role", "".join(e.data for e in seen[1]))
+
+    def test_wrong_customer_body_or_id_is_refused(self):
+        self.start(callers_fakes.Engine())
+        event_id = self.events()[2].event_id
+        granted = len(self.front.router.granted)
+        kind = "bad_continuation"
+        for body, key, given in (
+            (document(), "key-south", event_id),
+            (document(prompt="x"), "key-north", event_id),
+            (document(stream=False), "key-north", event_id),
+            (document(), "key-north", event_id[:-1] + "g"),
+            (document(), "key-north", ""),
+            (document(), "key-north", "0.0.0"),
+        ):
+            self.assert_problem(kind, body, key, Last_Event_ID=given)
+        self.assertEqual(granted, len(self.front.router.granted))
+
+
+class VanishedCallerTest(StreamTestCase):
+    """Guards against slots, threads and engine work left behind."""
+
+    def send(self):
+        sock = self.front.connect()
+        self.addCleanup(sock.close)
+        sock.sendall(callers_fakes.raw_request("/v1/completions", document()))
+        return sock
+
+    def assert_cancelled(self, engine, count):
+        self.assertTrue(
+            engine.wait_for(lambda: len(engine.cancelled) == count)
+        )
+        told = {head["X-Request-Id"] for _, _, head in engine.requests}
+        self.assertEqual(told, set(engine.cancelled))
+        self.assertTrue(self.front.router.wait_balanced())
+        self.assertEqual(
+            [interfaces.AttemptResult.CANCELLED] * count,
+            self.front.router.results(),
+        )
+
+    def test_caller_leaves_while_the_engine_is_silent(self):
+        for stall_after in (0, 3):
+            with self.subTest(stall_after=stall_after):
+                engine = callers_fakes.Engine(stall_after=stall_after)
+                self.start(engine, threads=4)
+                # More callers than threads, so that leaks would show.
+                for _ in range(8):
+                    sock = self.send()
+                    count = len(engine.requests)
+                    engine.wait_for(lambda: len(engine.requests) > count - 1)
+                    sock.close()
+                self.assertTrue(self.front.router.wait_balanced())
+                engine.script.stall_after = None
+                engine.released.set()
+                text = text_of(self.events())
+                self.assertEqual(callers_fakes.text(PROMPT, TOTAL), text)
+                self.assertTrue(self.front.router.wait_balanced())
+
+    def test_engine_is_told_of_each_caller_that_left(self):
+        engine = callers_fakes.Engine(stall_after=3)
+        self.start(engine)
+        socks = [self.send() for _ in range(4)]
+        self.assertTrue(engine.wait_for(lambda: len(engine.requests) == 4))
+        for sock in socks:
+            sock.close()
+        self.assert_cancelled(engine, 4)
+
+    def test_reset_is_noticed_as_well(self):
+        engine = callers_fakes.Engine(stall_after=3)
+        self.start(engine)
+        sock = self.send()
+        self.assertTrue(engine.wait_for(lambda: len(engine.requests) == 1))
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+        self.assert_cancelled(engine, 1)
+
+    def test_caller_that_stops_reading_is_cut_off(self):
+        engine = callers_fakes.Engine(padding=60_000)
+        limits = callers.GateLimits(write_timeout_ms=300)
+        self.start(engine, gate_limits=limits)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.addCleanup(sock.close)
+        sock.connect(self.front.address)
+        body = document(max_tokens=400)
+        sock.sendall(callers_fakes.raw_request("/v1/completions", body))
+        self.assert_cancelled(engine, 1)
+        sent = self.front.router.released[0][1].tokens
+        # The engine was held back instead of being read into memory.
+        self.assertLess(sent, 400)
+
+
+class DeadlineTest(StreamTestCase):
+    """Guards against a request that outlives its deadline."""
+
+    def test_dripping_engine_ends_at_the_deadline(self):
+        engine = callers_fakes.Engine(stall_after=3)
+        self.start(engine, request_timeout_ms=400, retries=5)
+        events = self.events()
+        problem = json.loads(events[-1].data)
+        self.assertEqual("target_timeout", problem["kind"])
+        self.assertEqual("unknown", problem["outcome"])
+        self.assertTrue(self.front.router.wait_balanced())
+
+
+class DrainTest(StreamTestCase):
+    """Guards against a planned stop that cuts off a request (R9)."""
+
+    def test_requests_in_progress_finish_and_new_ones_are_refused(self):
+        engine = callers_fakes.Engine(stall_after=3)
+        self.start(engine)
+        with self.front.connect() as sock:
+            sock.sendall(
+                callers_fakes.raw_request(
+                    "/v1/completions",
+                    document(),
+                    headers={"Connection": "close"},
+                )
+            )
+            self.assertTrue(engine.wait_for(lambda: len(engine.requests) == 1))
+            self.front.server.stop_accepting()
+            self.assertFalse(self.front.server.accepting)
+            problem = self.assert_problem("node_stopping", document())
+            self.assertEqual("not_run", problem["outcome"])
+            engine.released.set()
+            self.front.close()
+            self.assertTrue(self.front.drained)
+            data = callers_fakes.receive_all(sock)
+        self.assertIn(callers_fakes.token(PROMPT, TOTAL - 1).encode(), data)
+        self.assertIn(b"[DONE]", data)
+
+    def test_drain_ends_after_its_timeout(self):
+        engine = callers_fakes.Engine(stall_after=3)
+        self.start(engine)
+        with self.front.connect() as sock:
+            sock.sendall(
+                callers_fakes.raw_request("/v1/completions", document())
+            )
+            self.assertTrue(engine.wait_for(lambda: len(engine.requests) == 1))
+            self.front.drained = self.front.server.drain(100)
+            self.assertFalse(self.front.drained)
+            self.assertIn(b"node_stopping", callers_fakes.receive_all(sock))
+        self.assertTrue(self.front.router.wait_balanced())
