--- a/packages/standins/src/quetzalward_standins/_http.py
+++ b/packages/standins/src/quetzalward_standins/_http.py
@@ -29,6 +29,8 @@
 IDLE_TIMEOUT_S = 120
 LISTEN_BACKLOG = 1024
 SHUTDOWN_TIMEOUT_S = 1
+# A stop waits for this interval to end.
+EXPIRATION_INTERVAL_S = 0.1
 
 
 class DropConnection(Exception):
@@ -110,6 +112,7 @@
         self._server.timeout = IDLE_TIMEOUT_S
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.shutdown_timeout = SHUTDOWN_TIMEOUT_S
+        self._server.expiration_interval = EXPIRATION_INTERVAL_S
         self._server.keep_alive_conn_limit = 100_000
         self._server.max_request_body_size = MAX_BODY_BYTES
         setattr(self._server, "error_log", _log_error)
--- a/packages/standins/src/quetzalward_standins/_launcher.py
+++ b/packages/standins/src/quetzalward_standins/_launcher.py
@@ -27,10 +27,12 @@
     signal.signal(signal.SIGTERM, stop)
 
 
-def run_cluster() -> None:
+def run_cluster(
+    spec: cluster.ClusterSpec = cluster.ClusterSpec(),
+) -> None:
     """Run a cluster until a signal; print its description on one line."""
     stop_on_signals()
-    running = cluster.Cluster()
+    running = cluster.Cluster(spec)
     try:
         running.start()
         print(json.dumps(running.description()), flush=True)
--- a/packages/standins/src/quetzalward_standins/callers.py
+++ b/packages/standins/src/quetzalward_standins/callers.py
@@ -107,9 +107,12 @@
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that this chunk completes."""
         *lines, self._rest = (self._rest + chunk).split(b"\n")
-        events = []
+        events: list[Event] = []
         for line in lines:
-            field, _, value = line.rstrip(b"\r").decode().partition(":")
+            text = line.rstrip(b"\r").decode()
+            if not text:
+                events += self._finish()
+            field, _, value = text.partition(":")
             value = value.removeprefix(" ")
             if field == "id":
                 self._event.id = value
@@ -117,11 +120,12 @@
                 self._event.name = value
             elif field == "data":
                 self._event.data += value
-            elif not field and not value and self._event.data:
-                events.append(self._event)
-                self._event = Event()
         return events
 
+    def _finish(self) -> list[Event]:
+        event, self._event = self._event, Event()
+        return [event] if event.data else []
+
 
 class Caller:
     """Sends drafts and bookings for one customer and checks the answers."""
