Group manager: leases of zones, plans, orders and repair

Cause: something must execute the formation plan while managers fail, pause and lose the log. Change: task quetzalward_node.groups; every node runs it, the holder of a zone's lease acts.

--- a/packages/core/src/quetzalward_core/formation/_apply.py
+++ b/packages/core/src/quetzalward_core/formation/_apply.py
@@ -14,6 +14,7 @@
     _KIND.DRAIN: _STATE.DRAINING,
     _KIND.RESUME: _STATE.SERVING,
 }
+_ENDING = frozenset({_KIND.DISSOLVE, _KIND.UNLOAD, _KIND.CANCEL})
 
 
 def apply_plan(
@@ -32,7 +33,7 @@
             _check_free(groups, group)
             groups[group.group] = group
             epoch += 1
-        elif action.kind in (_KIND.DISSOLVE, _KIND.UNLOAD):
+        elif action.kind in _ENDING:
             _release(groups.pop(action.group), action.kind, hosts)
         elif action.kind is _KIND.LOAD:
             groups[action.group] = attrs.evolve(
--- a/packages/core/src/quetzalward_core/formation/_balance.py
+++ b/packages/core/src/quetzalward_core/formation/_balance.py
@@ -57,7 +57,7 @@
 
 
 def surplus(facts: _assess.Assessment) -> list[_model.Action]:
-    """Return drains of groups beyond the declared count.
+    """Return stops of groups beyond the declared count.
 
     The most crowded zone loses one first, then groups that do not serve yet,
     then the newest. A serving group is drained only if the declared count
@@ -75,7 +75,7 @@
                     break
                 serving -= 1
             kept.remove(victim)
-            actions.append(_drain(victim))
+            actions.append(stop(victim, _model.Reason.SURPLUS))
     return actions
 
 
@@ -104,13 +104,15 @@
     )
 
 
-def _drain(group: _model.Group) -> _model.Action:
-    """Return the step that drains a surplus group."""
+def stop(group: _model.Group, reason: _model.Reason) -> _model.Action:
+    """Return the step that stops a group without cutting off a request.
+
+    Only a group that serves can have requests. One that does not is
+    cancelled, so that every draining group is one that can resume at once.
+    """
+    kind = _model.ActionKind.CANCEL
+    if group.state is _STATE.SERVING:
+        kind = _model.ActionKind.DRAIN
     return _model.Action(
-        _model.ActionKind.DRAIN,
-        group.zone,
-        _model.Reason.SURPLUS,
-        group.model,
-        group.group,
-        group.domain,
+        kind, group.zone, reason, group.model, group.group, group.domain
     )
--- a/packages/core/src/quetzalward_core/formation/_loads.py
+++ b/packages/core/src/quetzalward_core/formation/_loads.py
@@ -50,12 +50,15 @@
     facts: _assess.Assessment,
     group: _model.Group,
     planned: typing.Mapping[str, int],
-) -> tuple[bool, bool, int, float, int, str]:
-    """Return the order of a load; smaller comes first."""
+) -> tuple[bool, int, float, int, str]:
+    """Return the order of a load; smaller comes first.
+
+    Whether a load has started is not part of it, because only the manager of
+    its own zone knows that.
+    """
     model = facts.fleet.models[group.model]
     present = planned.get(group.model, 0)
     return (
-        not group.load_started,
         present > 0,
         -model.importance,
         present / max(1, model.replicas),
--- a/packages/core/src/quetzalward_core/formation/_model.py
+++ b/packages/core/src/quetzalward_core/formation/_model.py
@@ -111,6 +111,7 @@
     REPAIR = "repair"
     DISSOLVE = "dissolve"
     FORM = "form"
+    CANCEL = "cancel"
     DRAIN = "drain"
     RESUME = "resume"
     UNLOAD = "unload"
--- a/packages/core/src/quetzalward_core/formation/_plan.py
+++ b/packages/core/src/quetzalward_core/formation/_plan.py
@@ -11,7 +11,7 @@
 
 _KIND = _model.ActionKind
 _STATE = _model.GroupState
-_DRAINABLE = frozenset({_STATE.FORMING, _STATE.LOADING, _STATE.SERVING})
+_STOPPABLE = frozenset({_STATE.FORMING, _STATE.LOADING, _STATE.SERVING})
 _PARKING = frozenset({_model.Reason.ZONE_OUT, _model.Reason.TARGET_DRAIN})
 
 DEFAULT_OPTIONS = _model.Options(_place.place)
@@ -57,11 +57,11 @@
 
 
 def _drains(facts: _assess.Assessment) -> list[_model.Action]:
-    """Return the steps for groups that must stop gracefully."""
+    """Return the steps for groups that must stop."""
     return [
-        _step(_KIND.DRAIN, group, facts.drain_reason_by_group[group.group])
+        _balance.stop(group, facts.drain_reason_by_group[group.group])
         for group in facts.groups
-        if group.state in _DRAINABLE
+        if group.state in _STOPPABLE
         and group.group not in facts.lost
         and group.group in facts.drain_reason_by_group
     ]
--- a/packages/core/tests/formation/test_plan.py
+++ b/packages/core/tests/formation/test_plan.py
@@ -158,7 +158,7 @@
         ended = {
             action.group
             for action in plan.actions
-            if action.kind in (_KIND.DISSOLVE, _KIND.UNLOAD)
+            if action.kind in (_KIND.DISSOLVE, _KIND.UNLOAD, _KIND.CANCEL)
         }
         taken = {
             name
@@ -188,7 +188,13 @@
             action.group
             for action in plan.actions
             if action.kind
-            in (_KIND.DRAIN, _KIND.DISSOLVE, _KIND.UNLOAD, _KIND.BREAK)
+            in (
+                _KIND.DRAIN,
+                _KIND.CANCEL,
+                _KIND.DISSOLVE,
+                _KIND.UNLOAD,
+                _KIND.BREAK,
+            )
         }
         for model, declared in fleet.models.items():
             mine = {g for g, name in healthy.items() if name == model}
--- /dev/null
+++ b/packages/node/src/quetzalward_node/groups/__init__.py
@@ -0,0 +1,25 @@
+"""The group manager: leases of zones, plans, and orders to engines."""
+
+from quetzalward_node.groups._http import HttpEngineClient
+from quetzalward_node.groups._http import HttpHostSource
+from quetzalward_node.groups._platform import EngineClient
+from quetzalward_node.groups._platform import EngineReport
+from quetzalward_node.groups._platform import HostListing
+from quetzalward_node.groups._platform import HostSource
+from quetzalward_node.groups._platform import ListedHost
+from quetzalward_node.groups._platform import Order
+from quetzalward_node.groups._platform import OrderAnswer
+from quetzalward_node.groups._task import GroupManagerTask
+
+__all__ = [
+    "EngineClient",
+    "EngineReport",
+    "GroupManagerTask",
+    "HostListing",
+    "HostSource",
+    "HttpEngineClient",
+    "HttpHostSource",
+    "ListedHost",
+    "Order",
+    "OrderAnswer",
+]
--- /dev/null
+++ b/packages/node/src/quetzalward_node/groups/_fleet.py
@@ -0,0 +1,60 @@
+"""The fleet as the plan sees it, from the fold, the list and reports."""
+
+import typing
+
+from quetzalward_core import agreement
+from quetzalward_core import clock as clocks
+from quetzalward_core import config
+from quetzalward_core import formation
+from quetzalward_node.groups import _presence
+from quetzalward_node.groups import _watch
+
+
+def build(
+    view: agreement.ControlView,
+    configuration: config.Configuration,
+    presence: _presence.Presence,
+    watches: typing.Mapping[str, _watch.Watch],
+    now_ms: clocks.Millis,
+) -> formation.Fleet:
+    """Return the input of a plan.
+
+    Only facts about this zone's groups come from this node's own reports;
+    all others are the same at every manager, so that the parts of the plan
+    that different managers execute fit together.
+    """
+    return formation.Fleet(
+        configuration.models,
+        presence.hosts(view),
+        {
+            group.group: _group(group, watches.get(group.group), now_ms)
+            for group in view.groups_by_id.values()
+        },
+        frozenset(configuration.zones),
+        frozenset(zone for zone in configuration.zones if view.zone_out(zone)),
+        frozenset(
+            drain.target
+            for drain in view.drains_by_target.values()
+            if drain.draining
+        ),
+        presence.list_age_ms(),
+    )
+
+
+def _group(
+    group: agreement.Group,
+    watch: _watch.Watch | None,
+    now_ms: clocks.Millis,
+) -> formation.Group:
+    """Return one group; `watch` is `None` outside this zone."""
+    return formation.Group(
+        group.group,
+        group.model,
+        group.zone,
+        group.domain,
+        {member.host: member.incarnation for member in group.hosts},
+        formation.GroupState(group.state),
+        group.epoch,
+        watch is not None and watch.drained(now_ms),
+        watch is not None and watch.load_started(),
+    )
--- /dev/null
+++ b/packages/node/src/quetzalward_node/groups/_manager.py
@@ -0,0 +1,325 @@
+"""The manager of one availability zone's groups."""
+
+import typing
+
+import logbook
+
+from quetzalward_core import agreement
+from quetzalward_core import clock as clocks
+from quetzalward_core import config
+from quetzalward_core import errors
+from quetzalward_core import formation
+from quetzalward_node.groups import _admission
+from quetzalward_node.groups import _fleet
+from quetzalward_node.groups import _lease
+from quetzalward_node.groups import _mailbox
+from quetzalward_node.groups import _orders
+from quetzalward_node.groups import _platform
+from quetzalward_node.groups import _presence
+from quetzalward_node.groups import _records
+from quetzalward_node.groups import _reports
+from quetzalward_node.groups import _watch
+from quetzalward_node import interfaces
+
+_LOG = logbook.Logger("groups")
+APPEND_DEADLINE_MS = 2_000
+# Without a change a plan is made again this often.
+REPLAN_MS = 5_000
+# Time for another node to claim the lease and to reach the engines.
+HAND_OVER_PAUSE_MS = 30_000
+
+
+class ZoneManager:
+    """Executes the plan of one zone while it holds the zone's lease.
+
+    `tick` belongs to one thread; calls to engines run on workers, which
+    hand their results back through a mailbox.
+    """
+
+    def __init__(
+        self,
+        lease: _lease.ZoneLease,
+        log: interfaces.ControlLog,
+        engines: _platform.EngineClient,
+        workers: _platform.Workers,
+        clock: clocks.Clock,
+    ) -> None:
+        """Manage the zone that the lease is for."""
+        self.zone = lease.zone
+        self.lease = lease
+        self.orders_sent = 0
+        self.orders_refused = 0
+        self.plans_made = 0
+        self._log = log
+        self._engines = engines
+        self._clock = clock
+        self._presence = _presence.Presence(clock)
+        self._admission = _admission.Admission(self.zone, clock)
+        self._calls = _mailbox.Mailbox(workers)
+        self._reports = _reports.Reports(
+            engines,
+            self._calls,
+            clock,
+            self._presence,
+            self._admission,
+            self._repair,
+        )
+        self._planned_ms = -_presence.NEVER_MS
+        self._planned_tables: tuple[typing.Any, ...] = ()
+        self._planned_facts: tuple[typing.Any, ...] = ()
+        self._plan = formation.Plan()
+        self._config_revision = -1
+        self._configuration = config.Configuration()
+        self._named = 0
+
+    def tick(self, listing: _platform.HostListing | None) -> None:
+        """Do what is due: renew, poll, plan, record and order."""
+        self.lease.maintain()
+        self._calls.deliver()
+        if not self.lease.epoch:
+            self._forget()
+            return
+        view = self._log.state()
+        self._presence.observe(listing, view)
+        groups = self._own_groups(view)
+        self._reports.update(groups)
+        self._reports.poll(groups, view)
+        self._calls.deliver()
+        self._reports.review(groups)
+        if self._reports.should_hand_over():
+            _LOG.warning("{}: most engines are silent", self.zone)
+            self.lease.release(HAND_OVER_PAUSE_MS)
+            return
+        if not self.lease.may_order():
+            return
+        self._make_plan(view)
+        if not self._append_due(view):
+            self._send_due(view)
+
+    def stop(self) -> None:
+        """Give up the lease so that a successor can take over."""
+        self.lease.release()
+
+    def _forget(self) -> None:
+        """Drop what only a holder keeps."""
+        self._reports.forget()
+        self._presence.reset()
+        self._admission.reset()
+        self._planned_facts = ()
+
+    def _own_groups(
+        self, view: agreement.ControlView
+    ) -> list[agreement.Group]:
+        """Return the groups of this zone."""
+        return [
+            group
+            for group in view.groups_by_id.values()
+            if group.zone == self.zone
+        ]
+
+    def _model(self, group: agreement.Group) -> config.Model | None:
+        return self._configuration.models.get(group.model)
+
+    def _repair(self, group: agreement.Group, watch: _watch.Watch) -> None:
+        """Take back the hosts of a group by its own assign order."""
+        _LOG.warning("{}: hosts taken by another order", group.group)
+        current = self._log.state().groups_by_id.get(group.group)
+        if current is None or current.epoch != group.epoch:
+            return
+        if current.state == "serving":
+            self._append([self._event(current, "reload")])
+        elif current.state in ("forming", "loading"):
+            self._order("assign", current, watch)
+
+    # Plan and records.
+
+    def _make_plan(self, view: agreement.ControlView) -> None:
+        """Plan again if the input may have changed."""
+        now_ms = self._clock.now_ms()
+        # The fold replaces a table when it changes, so identity tells.
+        tables = (
+            view.groups_by_id,
+            view.hosts_by_id,
+            view.zones_by_name,
+            view.drains_by_target,
+        )
+        facts = (
+            view.config_revision,
+            self._presence.changes,
+            tuple(
+                (watch.drained(now_ms), watch.load_started())
+                for watch in self._reports.watches.values()
+            ),
+        )
+        same = facts == self._planned_facts and all(
+            new is old for new, old in zip(tables, self._planned_tables)
+        )
+        recent = now_ms - self._planned_ms < REPLAN_MS
+        if same and recent and not self._presence.any_missing():
+            return
+        self._planned_tables = tables
+        self._planned_facts = facts
+        self._planned_ms = now_ms
+        self.plans_made += 1
+        if view.config_revision != self._config_revision:
+            self._config_revision = view.config_revision
+            self._configuration = config.from_document(view.config_document)
+        fleet = _fleet.build(
+            view,
+            self._configuration,
+            self._presence,
+            self._reports.watches,
+            now_ms,
+        )
+        whole = formation.make_plan(fleet)
+        self._plan = whole.for_zone(self.zone)
+
+    def _append_due(self, view: agreement.ControlView) -> bool:
+        """Append the records that are due; true if there were any.
+
+        The plan is made for a view, so it is dropped once it was recorded.
+        """
+        entries = self._admission.admissions()
+        first_zone = self.zone == min(self._configuration.zones, default="")
+        entries += self._admission.removals(view, self._presence, first_zone)
+        planned = _records.for_plan(
+            self._plan,
+            view,
+            self.lease.resource,
+            self.lease.epoch,
+            self._new_name,
+        )
+        changed = {
+            entry.group
+            for entry in planned
+            if isinstance(entry, agreement.GroupStateChanged)
+        }
+        now_ms = self._clock.now_ms()
+        for group in self._own_groups(view):
+            watch = self._reports.watches[group.group]
+            event = _watch.next_event(group, watch, now_ms)
+            if event and group.group not in changed:
+                entries.append(self._event(group, event))
+        entries = planned + entries
+        if not entries:
+            return False
+        self._append(entries[: agreement.MAX_ENTRIES])
+        self._planned_facts = ()
+        return True
+
+    def _new_name(self) -> str:
+        """Return a group id that no other group ever has."""
+        self._named += 1
+        return f"{self.zone}-{self.lease.epoch}-{self._named}"
+
+    def _event(
+        self, group: agreement.Group, event: str
+    ) -> agreement.GroupStateChanged:
+        return _records.state_changed(group, event, self.lease.epoch)
+
+    def _append(self, entries: list[agreement.Entry]) -> None:
+        """Append records; what took effect shows in the next view."""
+        if not self.lease.may_order():
+            return
+        deadline_ms = self._clock.now_ms() + APPEND_DEADLINE_MS
+        try:
+            results = self._log.append(entries, deadline_ms)
+        except errors.QuetzalwardError as error:
+            _LOG.warning("{}: records not appended: {}", self.zone, error)
+            return
+        for entry, result in zip(entries, results):
+            if isinstance(result, agreement.Void):
+                _LOG.info("{}: {} is void: {}", self.zone, entry, result)
+
+    # Orders.
+
+    def _send_due(self, view: agreement.ControlView) -> None:
+        """Send the orders that the states and the plan call for."""
+        now_ms = self._clock.now_ms()
+        loads = {
+            action.group
+            for action in self._plan.of_kind(formation.ActionKind.LOAD)
+        }
+        for group in self._own_groups(view):
+            watch = self._reports.watches[group.group]
+            kind = _watch.next_order(group, watch, now_ms)
+            if kind is None and self._load_due(group, watch, loads):
+                kind = "load"
+            if kind:
+                self._order(kind, group, watch)
+
+    def _load_due(
+        self,
+        group: agreement.Group,
+        watch: _watch.Watch,
+        loads: typing.Collection[str],
+    ) -> bool:
+        """Tell whether to send a load order now."""
+        report = watch.report
+        complete = _watch.match(group, report) is _watch.Match.COMPLETE
+        if not complete or report is None:
+            return False
+        if not watch.order_due("load", self._clock.now_ms()):
+            return False
+        if group.state == "loading":
+            return group.group in loads and not watch.load_started()
+        return group.state == "serving" and _orders.missing_names(
+            self._model(group), report.models
+        )
+
+    def _order(
+        self, kind: str, group: agreement.Group, watch: _watch.Watch
+    ) -> None:
+        """Send one order on a worker, if the lease allows it then."""
+        url = self._presence.engine_url(group.hosts[0].host)
+        if url is None or watch.ordering:
+            return
+        watch.orders_sent += 1
+        order = _orders.build(
+            kind,
+            group,
+            self._model(group),
+            watch.orders_sent,
+            self._log.writer(),
+        )
+        watch.ordering = True
+        watch.ordered_ms_by_kind[kind] = self._clock.now_ms()
+
+        def call() -> _platform.OrderAnswer:
+            # Checked again here: the worker may have been delayed.
+            if not self.lease.may_order():
+                return _platform.OrderAnswer(0, "lease lost")
+            self.orders_sent += 1
+            return self._engines.order(url, order)
+
+        self._calls.run(
+            call, lambda answer: self._on_order(kind, group, watch, answer)
+        )
+
+    def _on_order(
+        self,
+        kind: str,
+        group: agreement.Group,
+        watch: _watch.Watch,
+        answer: _platform.OrderAnswer,
+    ) -> None:
+        """Note the outcome of an order; the report decides its effect."""
+        watch.ordering = False
+        watch.polled_ms = -_presence.NEVER_MS
+        if answer.accepted:
+            watch.unloaded |= kind == "unload"
+            return
+        self.orders_refused += 1
+        if kind == "unload" and answer.error == "other_group":
+            watch.unloaded = True
+        blamed = {member.host: member for member in group.hosts}
+        member = blamed.get(answer.host)
+        if member is not None:
+            self._presence.suspect(member.host, member.incarnation)
+        _LOG.info(
+            "{}: {} order not taken: {} {}",
+            group.group,
+            kind,
+            answer.status,
+            answer.error,
+        )
