--- a/packages/standins/tests/test_cluster.py
+++ b/packages/standins/tests/test_cluster.py
@@ -135,7 +135,9 @@
     """Guards against half events that count as received."""
 
     def test_events_split_over_chunks(self) -> None:
-        data = b"id: 1\n:\ndata: a\n\n: comment\n\nid: 2\r\ndata: b\r\n\r\ndata"
+        data = (
+            b"id: 1\n:\ndata: a\n\n: comment\n\nid: 2\r\ndata: b\r\n\r\ndata"
+        )
         for size in range(1, len(data) + 1):
             parser = callers.EventParser()
             events = []
