--- a/packages/standins/src/quetzalward_standins/_engine_http.py
+++ b/packages/standins/src/quetzalward_standins/_engine_http.py
@@ -109,7 +109,10 @@
             return self._unless_gone(host, response)
         chunks = _openai.stream_answer(draft, first, tokens)
         return _http.Response(
-            200, content_type="text/event-stream", chunks=chunks
+            200,
+            content_type="text/event-stream",
+            headers=(("X-Request-Id", request_id),),
+            chunks=chunks,
         )
 
     def _unless_gone(
--- a/packages/standins/src/quetzalward_standins/_fleet.py
+++ b/packages/standins/src/quetzalward_standins/_fleet.py
@@ -39,7 +39,7 @@
     """One accelerator host and what its process knows."""
 
     spec: HostSpec
-    incarnation: int = 1
+    incarnation: str = "1"
     state: str = LIVE
     paused: bool = False
     # Largest fencing token that an order has shown to this host.
@@ -59,7 +59,7 @@
 
     target: _target.Target
     model: str
-    members: list[tuple[Host, int]]
+    members: list[tuple[Host, str]]
     reports: collections.deque[tuple[clock.Millis, dict[str, _http.Json]]]
 
     @property
@@ -67,11 +67,11 @@
         """Return the host whose URL serves the group."""
         return self.members[0][0]
 
-    def holds(self, host: Host, incarnation: int) -> bool:
+    def holds(self, host: Host, incarnation: str) -> bool:
         """Tell whether a member is still this group's."""
         return host.group is self and host.incarnation == incarnation
 
-    def present(self) -> list[tuple[Host, int]]:
+    def present(self) -> list[tuple[Host, str]]:
         """Return the members that run and are still this group's."""
         return [
             (host, incarnation)
@@ -289,7 +289,7 @@
     def revive(self, host: Host) -> None:
         """Start a dead or paused host afresh with a new incarnation."""
         with self.lock:
-            host.incarnation += 1
+            host.incarnation = str(int(host.incarnation) + 1)
             self.remove_member(host)
             host.state = LIVE
             host.paused = False
--- a/packages/standins/src/quetzalward_standins/answers.py
+++ b/packages/standins/src/quetzalward_standins/answers.py
@@ -8,7 +8,7 @@
 import typing
 
 PREFIX_BLOCK_CHARS = 256
-MAX_PREFIX_BLOCKS = 16
+MAX_PREFIX_BLOCKS = 64
 
 Body = dict[str, typing.Any]
 
@@ -40,8 +40,8 @@
     """Return the whole text that an engine processes before it answers."""
     if "messages" not in body:
         return text_of(body.get("prompt", ""))
-    return "".join(
-        f"{message.get('role')}: {text_of(message.get('content'))}\n"
+    return "\n".join(
+        f"{message.get('role')}: {text_of(message.get('content'))}"
         for message in body["messages"]
     )
 
@@ -65,10 +65,11 @@
 def prefix_ids(text: str) -> list[str]:
     """Return the prefix cache's ids for a prompt, shortest prefix first.
 
-    Each id covers all characters up to the end of one block.
+    Each id covers all characters up to the end of one whole block, as in
+    `quetzalward_core.routing`; a rest shorter than a block has none.
     """
     ends = range(PREFIX_BLOCK_CHARS, len(text) + 1, PREFIX_BLOCK_CHARS)
-    blocks = list(ends)[:MAX_PREFIX_BLOCKS] or [len(text)]
     return [
-        hashlib.sha256(text[:end].encode()).hexdigest()[:16] for end in blocks
+        hashlib.sha256(text[:end].encode()).hexdigest()[:16]
+        for end in ends[:MAX_PREFIX_BLOCKS]
     ]
--- a/packages/standins/tests/test_answers.py
+++ b/packages/standins/tests/test_answers.py
@@ -37,5 +37,8 @@
         self.assertEqual(one[:2], other[:2])
         self.assertNotEqual(one[2], other[2])
 
-    def test_short_prompt_has_an_id(self) -> None:
-        self.assertEqual(1, len(answers.prefix_ids("short")))
+    def test_only_whole_blocks_have_ids(self) -> None:
+        self.assertEqual([], answers.prefix_ids("short"))
+        block = "x" * answers.PREFIX_BLOCK_CHARS
+        digest = hashlib.sha256(block.encode()).hexdigest()
+        self.assertEqual([digest[:16]], answers.prefix_ids(block + "rest"))
--- a/packages/standins/tests/test_engines.py
+++ b/packages/standins/tests/test_engines.py
@@ -29,6 +29,11 @@
         text = support.stream_text(answer.data)
         self.assertEqual(answers.expected(body, 0, 20), text)
 
+    def test_stream_names_its_request(self) -> None:
+        body = support.draft("q", 1, stream=True)
+        answer = self.chat(0, body, headers={"X-Request-Id": "r1"})
+        self.assertEqual("r1", answer.headers["X-Request-Id"])
+
     def test_resumed_stream_has_exactly_the_rest(self) -> None:
         body = support.draft("q", 20, stream=True, resume_from=7)
         text = support.stream_text(self.chat(0, body).data)
@@ -64,8 +69,9 @@
 
     def test_kv_export_and_import(self) -> None:
         self.serve("g2", [2, 3])
-        self.chat(0, support.draft("q", 1))
-        prefix = answers.prefix_ids(answers.prompt(support.draft("q", 1)))[0]
+        body = support.draft("q" * answers.PREFIX_BLOCK_CHARS, 1)
+        self.chat(0, body)
+        prefix = answers.prefix_ids(answers.prompt(body))[0]
         exported = self.pool.request("GET", f"{self.url(0)}/kv/{prefix}")
         self.assertEqual(200, exported.status)
         url = f"{self.url(2)}/kv/{prefix}"
