--- a/packages/node/src/quetzalward_node/callers/_routes.py
+++ b/packages/node/src/quetzalward_node/callers/_routes.py
@@ -316,6 +316,7 @@
             exchange.query,
             repeatable,
             key,
+            configuration.calls.max_kept_body_bytes,
             interruption,
             span,
         )
--- a/packages/node/src/quetzalward_node/callers/_service_attempt.py
+++ b/packages/node/src/quetzalward_node/callers/_service_attempt.py
@@ -47,6 +47,8 @@
     query: str
     repeatable: bool
     key: str | None
+    # A larger answer to a keyed call is recorded without its body.
+    max_kept_body_bytes: int
     # Set only for calls that may be given up when the caller leaves.
     interruption: _watch.Interruption | None
     span: trace.Span
--- a/packages/node/src/quetzalward_node/callers/_services.py
+++ b/packages/node/src/quetzalward_node/callers/_services.py
@@ -226,7 +226,9 @@
     def _kept(
         self, answer: _service_attempt.ServiceAnswer
     ) -> interfaces.CallResult:
-        kept = answer.body if answer.complete else None
+        limit = self.request.max_kept_body_bytes
+        small = answer.complete and len(answer.body) <= limit
+        kept = answer.body if small else None
         return interfaces.CallResult(answer.status, answer.content_type, kept)
 
     def _replay(self, result: interfaces.CallResult) -> None:
