--- a/packages/node/src/quetzalward_node/log/_appender.py
+++ b/packages/node/src/quetzalward_node/log/_appender.py
@@ -152,6 +152,8 @@
     def stop(self) -> None:
         """Make `run` and `step` return soon."""
         self._stopping.set()
+        # Wakes a step that waits for a request; overdue, so never sent.
+        self._mailbox.put(Request((), 0, self._clock.now_ms()))
 
     def run(self) -> None:
         """Append until `stop`, then fail what was not sent."""
--- a/packages/node/src/quetzalward_node/log/_calls.py
+++ b/packages/node/src/quetzalward_node/log/_calls.py
@@ -79,6 +79,8 @@
         """Append what is queued, until the deadline, and stop."""
         for task in self.tasks_by_stream.values():
             task.flush(deadline_ms)
+        for task in self.tasks_by_stream.values():
+            task.begin_stop()
         for task in self.tasks_by_stream.values():
             task.stop()
 
--- a/packages/node/src/quetzalward_node/log/_stream.py
+++ b/packages/node/src/quetzalward_node/log/_stream.py
@@ -64,10 +64,14 @@
             self._stopping.wait(pause_s)
         return True
 
-    def stop(self) -> None:
-        """Stop all threads and wait for them."""
+    def begin_stop(self) -> None:
+        """Tell all threads to stop, without waiting for them."""
         self._stopping.set()
         self.appender.stop()
+
+    def stop(self) -> None:
+        """Stop all threads and wait for them."""
+        self.begin_stop()
         for thread in self._threads:
             thread.join()
         self._threads.clear()
--- /dev/null
+++ b/packages/node/tests/test_log_calls.py
@@ -0,0 +1,254 @@
+"""Tests of the call registry against a log with faults."""
+
+import random
+import threading
+import time
+import typing
+import unittest
+
+import attrs
+
+import fake_log
+from quetzalward_core import agreement
+from quetzalward_core import clock as clocks
+from quetzalward_core import config
+from quetzalward_core import errors
+from quetzalward_node import interfaces
+from quetzalward_node.log import _calls
+from quetzalward_node.log import _client
+
+PATIENCE_MS = 20_000
+STREAMS = 2
+_Kind = errors.ErrorKind
+_Answer = interfaces.DispatcherAnswer
+
+
+class Dispatchers:
+    """Asks the registries of the test, except those that are cut off."""
+
+    def __init__(self) -> None:
+        self.desks_by_writer: dict[str, interfaces.IntentDesk] = {}
+
+    def ask(self, node: str, intent_id: str) -> _Answer:
+        desk = self.desks_by_writer.get(node)
+        return desk.answer(intent_id) if desk else _Answer.UNREACHABLE
+
+
+class Status:
+    """A service's status call."""
+
+    def __init__(self) -> None:
+        self.keys: set[str] = set()
+
+    def ran(self, service: str, key: str) -> bool | None:
+        return key in self.keys
+
+
+class CallsTest(unittest.TestCase):
+    """Guards R6 and R7 in the task that callers use."""
+
+    def setUp(self) -> None:
+        self.server = fake_log.FakeLogServer()
+        self.addCleanup(self.server.close)
+        self.log = self.server.log
+        self.clock = clocks.SystemClock()
+        self.store = _client.HttpLogStore(self.server.url)
+        self.addCleanup(self.store.close)
+        self.dispatchers = Dispatchers()
+        self.status = Status()
+        self.a = self.registry("a#1")
+        self.b = self.registry("b#1")
+
+    def registry(self, writer: str) -> _calls.CallRegistryTask:
+        """Return a running registry that has read the log's head."""
+        registry = _calls.CallRegistryTask(
+            self.store,
+            writer,
+            STREAMS,
+            self.clock,
+            self.dispatchers,
+            self.status,
+            config.Calls,
+            random.Random(1),
+        )
+        registry.start()
+        self.addCleanup(registry.stop, 0)
+        self.dispatchers.desks_by_writer[writer] = registry
+        self.until(registry.ready)
+        return registry
+
+    def until(self, condition: typing.Callable[[], bool]) -> None:
+        """Wait for another thread."""
+        deadline_ms = self.clock.now_ms() + PATIENCE_MS
+        while not condition():
+            self.assertLess(self.clock.now_ms(), deadline_ms, "no progress")
+            time.sleep(0.001)
+
+    def call(
+        self, key: str = "k", deadline_ms: int | None = None
+    ) -> interfaces.KeyedCall:
+        if deadline_ms is None:
+            deadline_ms = self.clock.now_ms() + PATIENCE_MS
+        return interfaces.KeyedCall("c", "s", key, "f", deadline_ms)
+
+    def start_call(
+        self, registry: _calls.CallRegistryTask, key: str = "k"
+    ) -> interfaces.StartedCall:
+        started = registry.begin(self.call(key))
+        assert isinstance(started, interfaces.StartedCall)
+        return started
+
+    def refused(
+        self,
+        registry: _calls.CallRegistryTask,
+        call: interfaces.KeyedCall | None = None,
+    ) -> errors.QuetzalwardError:
+        with self.assertRaises(errors.QuetzalwardError) as caught:
+            registry.begin(call or self.call())
+        return caught.exception
+
+    def known(
+        self, registry: _calls.CallRegistryTask, key: str = "k"
+    ) -> agreement.CallKey | None:
+        return registry._lookup(self.call(key))
+
+    def in_state(self, registry: _calls.CallRegistryTask, state: str) -> bool:
+        known = self.known(registry)
+        return known is not None and known.state.value == state
+
+    def test_one_of_two_nodes_dispatches(self) -> None:
+        self.log.faults.extend(["lost_answer", "lost_request", "rate"])
+        outcomes: list[typing.Any] = []
+
+        def work(registry: _calls.CallRegistryTask) -> None:
+            try:
+                outcomes.append(registry.begin(self.call()))
+            except errors.QuetzalwardError as error:
+                outcomes.append(error.kind)
+
+        threads = [
+            threading.Thread(target=work, args=(registry,))
+            for registry in (self.a, self.b) * 4
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        started = [
+            outcome
+            for outcome in outcomes
+            if isinstance(outcome, interfaces.StartedCall)
+        ]
+        self.assertEqual(len(started), 1, outcomes)
+        others = set(outcomes) - set(started)
+        self.assertEqual(others, {_Kind.CALL_IN_PROGRESS})
+
+    def test_a_result_is_replayed_by_every_node(self) -> None:
+        started = self.start_call(self.a)
+        kept = interfaces.CallResult(201, "text/plain", b"booked")
+        self.a.finish(started, kept)
+        self.until(lambda: self.in_state(self.b, "done"))
+        self.assertEqual(self.b.begin(self.call()), kept)
+        self.until(lambda: len(self.a._book) == 0)
+
+    def test_a_large_result_is_not_kept(self) -> None:
+        started = self.start_call(self.a)
+        body = b"x" * (config.Calls().max_kept_body_bytes + 1)
+        self.a.finish(started, interfaces.CallResult(200, "t", body))
+        self.until(lambda: self.in_state(self.b, "done"))
+        error = self.refused(self.b)
+        self.assertIs(error.kind, _Kind.RESULT_NOT_KEPT)
+        self.assertIs(error.outcome, errors.Outcome.RAN)
+
+    def test_another_request_with_the_key_is_refused(self) -> None:
+        self.start_call(self.a)
+        self.until(lambda: self.in_state(self.b, "open"))
+        other = attrs.evolve(self.call(), fingerprint="other")
+        self.assertIs(self.refused(self.b, other).kind, _Kind.KEY_REUSED)
+        self.assertIs(self.refused(self.a, other).kind, _Kind.KEY_REUSED)
+
+    def test_customers_have_their_own_keys(self) -> None:
+        self.start_call(self.a)
+        other = attrs.evolve(self.call(), customer="d")
+        self.assertIsInstance(self.b.begin(other), interfaces.StartedCall)
+
+    def test_an_unreachable_dispatcher_leaves_the_outcome_unknown(
+        self,
+    ) -> None:
+        self.start_call(self.a)
+        self.until(lambda: self.in_state(self.b, "open"))
+        self.assertIs(self.refused(self.b).kind, _Kind.CALL_IN_PROGRESS)
+        del self.dispatchers.desks_by_writer["a#1"]
+        self.assertIs(self.refused(self.b).kind, _Kind.OUTCOME_UNKNOWN)
+        # The service's "no" is no proof; its "yes" is.
+        self.status.keys.add("k")
+        self.assertIs(self.refused(self.b).kind, _Kind.RESULT_NOT_KEPT)
+        self.until(lambda: self.in_state(self.a, "done"))
+
+    def test_an_unknown_call_is_never_run_again(self) -> None:
+        self.a.mark_unknown(self.start_call(self.a))
+        self.until(lambda: self.in_state(self.b, "unknown"))
+        self.until(lambda: self.in_state(self.a, "unknown"))
+        for registry in (self.a, self.b):
+            self.assertIs(self.refused(registry).kind, _Kind.OUTCOME_UNKNOWN)
+
+    def test_an_abandoned_key_is_free(self) -> None:
+        self.a.abandon(self.start_call(self.a))
+        self.until(lambda: self.known(self.b) is None)
+        self.start_call(self.b)
+
+    def test_a_late_intent_is_given_up(self) -> None:
+        """A deadline during an outage: never dispatched, key freed later."""
+        self.log.faults.extend(["lost_answer"] + ["unavailable"] * 3)
+        error = self.refused(
+            self.a, self.call(deadline_ms=self.clock.now_ms() + 1)
+        )
+        self.assertIs(error.kind, _Kind.LOG_UNAVAILABLE)
+        self.assertIs(error.outcome, errors.Outcome.NOT_RUN)
+        self.until(lambda: len(self.a._book) == 0)
+        self.until(lambda: self.known(self.b) is None)
+        self.start_call(self.b)
+
+    def test_a_log_outage_refuses_new_keys_only(self) -> None:
+        self.start_call(self.a)
+        self.until(lambda: self.in_state(self.b, "open"))
+        self.log.set_out(True)
+        before = self.log.append_count
+        for task in self.a.tasks_by_stream.values():
+            reader = task.reader
+            self.until(lambda: reader.failure_count > 0)
+            # As after 5 s without a read.
+            task.reader._head_read_ms = None
+        error = self.refused(self.a, self.call("new"))
+        self.assertIs(error.kind, _Kind.LOG_UNAVAILABLE)
+        self.assertIs(error.outcome, errors.Outcome.NOT_RUN)
+        self.assertEqual(self.log.append_count, before)
+        # A key that may have run is never answered with "not run".
+        self.assertIs(self.refused(self.a).kind, _Kind.CALL_IN_PROGRESS)
+
+    def test_an_ended_intent_is_not_called_abandoned(self) -> None:
+        """The asking node may not have read the result yet."""
+        started = self.start_call(self.a)
+        self.a.finish(started, interfaces.CallResult(200, "t", b""))
+        self.until(lambda: len(self.a._book) == 0)
+        answer = self.a.answer(started.intent_id)
+        self.assertIs(answer, _Answer.IN_PROGRESS)
+        self.assertIs(self.a.answer("other#1/1"), _Answer.UNKNOWN)
+
+    def test_results_queued_before_a_stop_reach_the_log(self) -> None:
+        started = self.start_call(self.a)
+        self.a.finish(started, interfaces.CallResult(200, "t", b"x"))
+        self.a.stop(self.clock.now_ms() + PATIENCE_MS)
+        self.until(lambda: self.in_state(self.b, "done"))
+
+    def test_a_node_that_restarts_does_not_dispatch_again(self) -> None:
+        self.start_call(self.a)
+        self.a.stop(0)
+        del self.dispatchers.desks_by_writer["a#1"]
+        again = self.registry("a#2")
+        self.until(lambda: self.in_state(again, "open"))
+        self.assertIs(self.refused(again).kind, _Kind.OUTCOME_UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
