Draft path end to end: groups wired in, targets behind a path prefix

Cause: no group formed because nobody read the host list for the group manager, and engines answered 404 because the path of the target's base URL was dropped. Change: the group manager uses the list that the targets task reads; a connection prepends its target's base path.

--- a/packages/node/src/quetzalward_node/app.py
+++ b/packages/node/src/quetzalward_node/app.py
@@ -18,6 +18,7 @@
 from quetzalward_node import callers
 from quetzalward_node import control
 from quetzalward_node import dispatch
+from quetzalward_node import groups
 from quetzalward_node import interfaces
 from quetzalward_node import log
 from quetzalward_node import operators
@@ -89,6 +90,7 @@
         self._telemetry = telemetry.create(settings.name, settings.trace_file)
         self._build_control()
         self._build_routing()
+        self._build_groups()
         self._build_callers()
         self._build_operators()
 
@@ -137,6 +139,17 @@
             random.Random(),
         )
 
+    def _build_groups(self) -> None:
+        settings = self._settings
+        self._groups = groups.GroupManagerTask(
+            self._control,
+            groups.ListedHostSource(lambda: self._targets.view().host_list),
+            groups.HttpEngineClient(),
+            self._clock,
+            settings.name,
+            settings.zone,
+        )
+
     def _build_callers(self) -> None:
         settings = self._settings
         self._calls = log.CallRegistryTask(
@@ -220,6 +233,7 @@
         self._pending.start()
         self._dispatch.start()
         self._targets.start()
+        self._groups.start()
         self._callers.start()
         self._registration.start()
         _LOG.info("node {} started", self._settings.name)
@@ -242,6 +256,7 @@
         _LOG.info("node {} stops gracefully", self._settings.name)
         self._dispatch.stop_admission()
         self._callers.drain(self._settings.stop_timeout_ms)
+        self._groups.stop()
         self._dispatch.stop()
         self._targets.stop()
         self._calls.stop(self._clock.now_ms() + CALLS_FLUSH_MS)
--- a/packages/node/src/quetzalward_node/callers/_targets.py
+++ b/packages/node/src/quetzalward_node/callers/_targets.py
@@ -67,6 +67,9 @@
     http: urllib3_connection.HTTPConnection
     sock: socket.socket
     reused: bool
+    # Path of the target's base URL; a kept connection serves several targets
+    # of one origin, so each `open` sets it.
+    base_path: str = ""
     _response: urllib3_response.HTTPResponse | None = None
     # Set only by a read that met the end of the answer. The response object
     # also counts as closed after a timeout.
@@ -89,7 +92,7 @@
         with _translated():
             self.http.request(
                 method,
-                path,
+                self.base_path + path,
                 body=body,
                 headers=headers,
                 preload_content=False,
@@ -156,15 +159,19 @@
         """
         parts = urllib.parse.urlsplit(url)
         origin = f"{parts.hostname}:{parts.port or 80}"
+        base_path = parts.path.rstrip("/")
         while not fresh:
             kept = self._take(origin)
             if kept is None:
                 break
             if kept.http.is_connected:
                 kept.reused = True
+                kept.base_path = base_path
                 return kept
             kept.close()
-        return _connect(origin, parts.hostname or "", parts.port or 80)
+        connection = _connect(origin, parts.hostname or "", parts.port or 80)
+        connection.base_path = base_path
+        return connection
 
     def give_back(self, connection: TargetConnection) -> None:
         """Keep a connection for reuse, or close it if it is not clean."""
--- a/packages/node/src/quetzalward_node/groups/__init__.py
+++ b/packages/node/src/quetzalward_node/groups/__init__.py
@@ -1,7 +1,7 @@
 """The group manager: leases of zones, plans, and orders to engines."""
 
+from quetzalward_node.groups._hosts import ListedHostSource
 from quetzalward_node.groups._http import HttpEngineClient
-from quetzalward_node.groups._http import HttpHostSource
 from quetzalward_node.groups._platform import EngineClient
 from quetzalward_node.groups._platform import EngineReport
 from quetzalward_node.groups._platform import HostListing
@@ -18,8 +18,8 @@
     "HostListing",
     "HostSource",
     "HttpEngineClient",
-    "HttpHostSource",
     "ListedHost",
+    "ListedHostSource",
     "Order",
     "OrderAnswer",
 ]
--- a/packages/node/src/quetzalward_node/groups/_http.py
+++ b/packages/node/src/quetzalward_node/groups/_http.py
@@ -1,7 +1,6 @@
-"""The engines and the host list over HTTP."""
+"""The engines over HTTP."""
 
 import json
-import threading
 import typing
 
 import logbook
@@ -14,7 +13,6 @@
 _LOG = logbook.Logger("groups.http")
 CONNECT_TIMEOUT_MS = 500
 REPORT_TIMEOUT_MS = 1_000
-HOST_LIST_TIMEOUT_MS = 3_000
 _POOL_SIZE = 8
 _POOLS = 64
 
@@ -116,54 +114,3 @@
             )
         except (ValueError, AttributeError):
             return _platform.OrderAnswer(answer.status)
-
-
-class HttpHostSource:
-    """Implements `HostSource`; `refresh` reads the list once."""
-
-    def __init__(self, hosts_url: str, clock: clocks.Clock) -> None:
-        """Read `{hosts_url}/hosts`."""
-        self._url = f"{hosts_url.rstrip('/')}/hosts"
-        self._clock = clock
-        self._pool = urllib3.PoolManager(retries=False)
-        self._lock = threading.Lock()
-        self._listing: _platform.HostListing | None = None
-
-    def listing(self) -> _platform.HostListing | None:
-        """Return the newest list, or `None` before the first one."""
-        with self._lock:
-            return self._listing
-
-    def refresh(self) -> bool:
-        """Read the list; false if no usable answer arrived."""
-        sent_ms = self._clock.now_ms()
-        try:
-            answer = self._pool.request(
-                "GET", self._url, timeout=_timeout(HOST_LIST_TIMEOUT_MS)
-            )
-            if answer.status != 200:
-                return False
-            document = json.loads(answer.data)
-            hosts = {
-                item["host"]: _platform.ListedHost(
-                    str(item["host"]),
-                    str(item["zone"]),
-                    str(item["domain"]),
-                    int(item["incarnation"]),
-                    str(item["state"]),
-                    str(item["engine_url"]).rstrip("/"),
-                )
-                for item in document["hosts"]
-            }
-            as_of_ms = sent_ms - int(document["age_ms"])
-        except (
-            urllib3.exceptions.HTTPError,
-            OSError,
-            ValueError,
-            KeyError,
-            TypeError,
-        ):
-            return False
-        with self._lock:
-            self._listing = _platform.HostListing(as_of_ms, hosts)
-        return True
--- a/packages/node/src/quetzalward_node/targets/_task.py
+++ b/packages/node/src/quetzalward_node/targets/_task.py
@@ -96,6 +96,10 @@
             thread.join(timeout_s)
         self._fetcher.close()
 
+    def view(self) -> interfaces.TargetsView:
+        """Return what was read last; replaced as a whole."""
+        return self._view
+
     def _run(self) -> None:
         """Plan polls and publish their results until stopped."""
         while True:
