Membership: facts, ages, stop orders and the isolation rule

Cause: nodes must keep serving, and stop when cut off, without the log. Change: pure package quetzalward_core.membership; peer.proto with generated code; make generate.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SRC)))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: install test lint unit demo cluster
+.PHONY: install test lint unit demo cluster generate
 
 ifdef SKIP_INSTALL
 install:
@@ -35,6 +35,12 @@
 
 test: lint unit
 
+# The generated code is committed; run this after a change of a .proto file.
+generate: install
+	$(PY) -m grpc_tools.protoc -I packages/wire/src \
+	  --python_out=packages/wire/src --pyi_out=packages/wire/src \
+	  packages/wire/src/quetzalward_wire/peer.proto
+
 demo: install
 	$(PY) -m quetzalward_standins demo
 
--- /dev/null
+++ b/packages/core/src/quetzalward_core/membership/_membership.py
@@ -0,0 +1,234 @@
+"""One node's knowledge of its peers, kept up to date."""
+
+import heapq
+import random
+import typing
+
+import attrs
+
+from quetzalward_core import clock
+from quetzalward_core.membership import _codes
+from quetzalward_core.membership import _freshness
+from quetzalward_core.membership import _merge
+from quetzalward_core.membership import _model
+
+# Sizes of a digest's parts. With two exchanges a second a node sends and
+# receives eight digests a second; the sum keeps that below 29 KB/s.
+MAX_FACT_BYTES = 1_200
+MAX_DEMAND_BYTES = 60
+MAX_STOPS = 16
+# Fields of a fact besides the node's name and its demand, as encoded.
+_FACT_OVERHEAD_BYTES = 26
+# Peers that were not heard for this long get only a share of the exchanges,
+# so that exchanges are not wasted on nodes that failed.
+SILENT_MS = 10_000
+SILENT_SHARE = 0.125
+
+
+class Membership:
+    """Merges digests and makes new ones; not safe for use by two threads."""
+
+    def __init__(self, own: str) -> None:
+        """Know nothing but the own name."""
+        self.own = own
+        self.members: dict[str, _model.Member] = {}
+        self._facts: dict[str, _model.Fact] = {}
+        self._heard_ms: dict[str, clock.Millis] = {}
+        self._stops: dict[_model.StopKey, int] = {}
+        # How often each fact was sent, and a number that orders facts sent
+        # equally often. Facts sent least go first.
+        self._sent: dict[str, tuple[int, int]] = {}
+        self._turn = 0
+        self._nodes_by_key: dict[int, list[str]] = {}
+
+    def set_members(self, members: typing.Mapping[str, _model.Member]) -> None:
+        """Take over the nodes of the fold and drop all others."""
+        self.members = dict(members)
+        kept = _merge.retain(self.knowledge(), self.members)
+        self._facts = dict(kept.facts_by_node)
+        self._heard_ms = dict(kept.heard_ms_by_node)
+        self._sent = {node: self._sent[node] for node in self._facts}
+        self._nodes_by_key = {}
+        for node in sorted(self.members):
+            key = _codes.node_key(node)
+            self._nodes_by_key.setdefault(key, []).append(node)
+
+    def set_own(
+        self,
+        revision: int,
+        demand_by_customer: typing.Mapping[str, _codes.Demand],
+    ) -> None:
+        """Say what this node has in force and what its customers want.
+
+        Nothing is said again while the amounts stay about the same.
+        """
+        member = self.members.get(self.own)
+        if member is None:
+            return
+        demand = _codes.pack_demand(demand_by_customer, MAX_DEMAND_BYTES)
+        old = self._facts.get(self.own)
+        same_start = old is not None and old.generation == member.joined
+        if old and same_start and old.revision == revision:
+            if not _codes.demand_differs(old.demand, demand):
+                return
+        version = old.version + 1 if old and same_start else 1
+        self._put_fact(
+            self.own, _model.Fact(member.joined, version, revision, demand)
+        )
+
+    def add_stop(self, kind: _model.StopKind, name: str, basis: int) -> None:
+        """Note a stop order that reached this node directly."""
+        key = _model.StopKey(kind, name)
+        self._stops[key] = max(basis, self._stops.get(key, basis))
+        self._stops = _merge.bound_stops(self._stops, MAX_STOPS)
+
+    def drop_stops(
+        self, ended: typing.Callable[[_model.StopKey, int], bool]
+    ) -> None:
+        """Forget stop orders that a later start on the log has ended."""
+        self._stops = {
+            key: basis
+            for key, basis in self._stops.items()
+            if not ended(key, basis)
+        }
+
+    def stops(self) -> dict[_model.StopKey, int]:
+        """Return the basis of each stop order."""
+        return dict(self._stops)
+
+    def knowledge(self) -> _model.Knowledge:
+        """Return everything that is known."""
+        return _model.Knowledge(
+            dict(self._facts), dict(self._heard_ms), dict(self._stops)
+        )
+
+    def digest(self, now_ms: clock.Millis) -> _model.Digest:
+        """Return the next digest; its size is bounded."""
+        heard = {**self._heard_ms, self.own: now_ms}
+        chosen = {}
+        size = 0
+        ranked = heapq.nsmallest(
+            MAX_FACT_BYTES // _FACT_OVERHEAD_BYTES,
+            self._facts,
+            key=self._sent.__getitem__,
+        )
+        for node in ranked:
+            fact = self._facts[node]
+            size += len(node) + len(fact.demand) + _FACT_OVERHEAD_BYTES
+            if size > MAX_FACT_BYTES:
+                break
+            chosen[node] = fact
+            count, turn = self._sent[node]
+            self._sent[node] = (count + 1, turn)
+        return _model.Digest(
+            self.own, _codes.pack_ages(heard, now_ms), chosen, self.stops()
+        )
+
+    def receive(self, digest: _model.Digest, as_of_ms: clock.Millis) -> None:
+        """Merge a digest.
+
+        `as_of_ms` must not be after the moment it was written: the time a
+        request was sent for its answer.
+        """
+        heard = _merge.heard(
+            _codes.unpack_ages(digest.ages), self._nodes_by_key, as_of_ms
+        )
+        self.receive_facts(digest)
+        for node, heard_ms in heard.items():
+            if node != self.own:
+                known = self._heard_ms.get(node, heard_ms)
+                self._heard_ms[node] = max(known, heard_ms)
+
+    def receive_facts(self, digest: _model.Digest) -> None:
+        """Merge a digest whose age is not known, without its ages."""
+        for node, fact in digest.facts_by_node.items():
+            member = self.members.get(node)
+            if node == self.own or member is None:
+                continue
+            known = self._facts.get(node)
+            if fact.generation >= member.joined:
+                if known is None or fact > known:
+                    self._put_fact(node, fact)
+        for key, basis in digest.basis_by_stop.items():
+            self.add_stop(key.kind, key.name, basis)
+
+    def _put_fact(self, node: str, fact: _model.Fact) -> None:
+        """Keep a new fact, to be sent before those sent more often."""
+        self._facts[node] = fact
+        count, _ = self._sent.get(node, (1, 0))
+        if count:
+            # An unsent fact keeps its turn, so that a fact that changes often
+            # cannot keep others from being sent.
+            self._turn += 1
+            self._sent[node] = (0, self._turn)
+
+    def choose_peers(
+        self, count: int, now_ms: clock.Millis, rng: random.Random
+    ) -> list[str]:
+        """Return peers for the next exchanges, at random."""
+        others = [node for node in sorted(self.members) if node != self.own]
+        lively = [
+            node
+            for node in others
+            if now_ms - self._heard_ms.get(node, -SILENT_MS) <= SILENT_MS
+        ]
+        chosen: list[str] = []
+        for _ in range(min(count, len(others))):
+            pool = lively if rng.random() >= SILENT_SHARE else others
+            left = [node for node in pool or others if node not in chosen]
+            left = left or [node for node in others if node not in chosen]
+            chosen.append(rng.choice(left))
+        return chosen
+
+    def is_isolated(
+        self,
+        head_age_ms: clock.Millis,
+        now_ms: clock.Millis,
+        mode: str = _freshness.MAJORITY,
+    ) -> bool:
+        """Tell whether this node must refuse new work."""
+        return _freshness.is_isolated(
+            self.own,
+            self.members,
+            self._heard_ms,
+            head_age_ms,
+            now_ms,
+            mode,
+        )
+
+    def revision_by_node(self) -> dict[str, int]:
+        """Return the configuration in force at each node that said so."""
+        return {node: fact.revision for node, fact in self._facts.items()}
+
+    def demand_by_node(self, customer: str) -> dict[str, _codes.Demand]:
+        """Return one customer's demand at every node that reported any."""
+        key = _codes.customer_key(customer)
+        found = {}
+        for node, fact in self._facts.items():
+            demand = _codes.unpack_demand(fact.demand).get(key)
+            if demand is not None:
+                found[node] = demand
+        return found
+
+
+@attrs.define
+class InFlight:
+    """Requests in flight per target, for this node's own use.
+
+    They are not sent to peers: their volume grows with nodes times targets.
+    """
+
+    count_by_target: dict[str, int] = attrs.field(factory=dict)
+
+    def start(self, target: str) -> None:
+        """Count one more request."""
+        count = self.count_by_target.get(target, 0)
+        self.count_by_target[target] = count + 1
+
+    def end(self, target: str) -> None:
+        """Count one request less."""
+        count = self.count_by_target.get(target, 0)
+        if count > 1:
+            self.count_by_target[target] = count - 1
+        else:
+            self.count_by_target.pop(target, None)
--- /dev/null
+++ b/packages/core/src/quetzalward_core/membership/_merge.py
@@ -0,0 +1,106 @@
+"""Merges that give the same result in any order and when repeated."""
+
+import typing
+
+from quetzalward_core import clock
+from quetzalward_core.membership import _model
+
+Key = typing.TypeVar("Key")
+
+
+def newer_fact(one: _model.Fact, other: _model.Fact) -> _model.Fact:
+    """Return the later of two facts about a node.
+
+    Two facts of one version differ only if a node broke the protocol; the
+    larger content then wins on every node.
+    """
+    return max(one, other)
+
+
+def _merge_max(
+    one: typing.Mapping[Key, typing.Any],
+    other: typing.Mapping[Key, typing.Any],
+) -> dict[Key, typing.Any]:
+    """Return the largest value of each key."""
+    merged = dict(one)
+    for key, value in other.items():
+        if key not in merged or merged[key] < value:
+            merged[key] = value
+    return merged
+
+
+def merge(one: _model.Knowledge, other: _model.Knowledge) -> _model.Knowledge:
+    """Return everything that two nodes know together.
+
+    Both must use the same clock for `heard_ms_by_node`; `heard` converts the
+    ages of a digest.
+    """
+    return _model.Knowledge(
+        _merge_max(one.facts_by_node, other.facts_by_node),
+        _merge_max(one.heard_ms_by_node, other.heard_ms_by_node),
+        _merge_max(one.basis_by_stop, other.basis_by_stop),
+    )
+
+
+def retain(
+    knowledge: _model.Knowledge,
+    members: typing.Mapping[str, _model.Member],
+) -> _model.Knowledge:
+    """Drop what is known of nodes that the fold does not name.
+
+    A fact from before a node's present start is dropped too, so that a late
+    digest brings nothing back. A fact from a later start stays, because the
+    fold may lag behind.
+    """
+    facts = {
+        node: fact
+        for node, fact in knowledge.facts_by_node.items()
+        if node in members and fact.generation >= members[node].joined
+    }
+    heard = {
+        node: heard_ms
+        for node, heard_ms in knowledge.heard_ms_by_node.items()
+        if node in members
+    }
+    return _model.Knowledge(facts, heard, knowledge.basis_by_stop)
+
+
+def stop_in_force(basis: int, last_start: int, stopped_in_fold: bool) -> bool:
+    """Tell whether a direct stop order or the fold stops something.
+
+    `last_start` is the position of the last change on the log if that was a
+    start (`in`, or the end of a drain), otherwise 0. A start above the
+    order's basis ends the order.
+    """
+    return stopped_in_fold or last_start <= basis
+
+
+def bound_stops(
+    basis_by_stop: typing.Mapping[_model.StopKey, int], limit: int
+) -> dict[_model.StopKey, int]:
+    """Return the stop orders of zones, then those with the largest bases."""
+    ranked = sorted(
+        basis_by_stop.items(),
+        key=lambda row: (
+            row[0].kind is not _model.StopKind.ZONE,
+            -row[1],
+            row[0],
+        ),
+    )
+    return dict(ranked[:limit])
+
+
+def heard(
+    ages_by_key: typing.Mapping[int, clock.Millis],
+    nodes_by_key: typing.Mapping[int, typing.Sequence[str]],
+    as_of_ms: clock.Millis,
+) -> dict[str, clock.Millis]:
+    """Return when each node was heard, by the receiver's clock.
+
+    `as_of_ms` must not be after the moment the ages were written.
+    """
+    found = {}
+    for key, age_ms in ages_by_key.items():
+        for node in nodes_by_key.get(key, ()):
+            found[node] = as_of_ms - age_ms
+    return found
--- /dev/null
+++ b/packages/core/src/quetzalward_core/membership/_model.py
@@ -0,0 +1,72 @@
+"""What a node knows of its peers, and the digest that nodes exchange.
+
+Positions are positions on the control stream. Times are monotonic
+milliseconds of the node that holds them; a digest carries ages.
+"""
+
+import enum
+import typing
+
+import attrs
+
+from quetzalward_core import clock
+
+
+@attrs.frozen
+class Member:
+    """A node of the fold; `joined` is the position of its `NodeJoined`."""
+
+    joined: int
+    region: str
+
+
+@attrs.frozen(order=True)
+class Fact:
+    """What one node says of itself.
+
+    `generation` is the position of its `NodeJoined`, `version` counts its
+    changes since then, `revision` is the configuration in force there, and
+    `demand` is packed by `pack_demand`.
+    """
+
+    generation: int
+    version: int
+    revision: int = 0
+    demand: bytes = b""
+
+
+class StopKind(enum.StrEnum):
+    """What a stop order takes out of use."""
+
+    ZONE = "zone"
+    TARGET = "target"
+
+
+class StopKey(typing.NamedTuple):
+    """The zone or target that a stop order is about."""
+
+    kind: StopKind
+    name: str
+
+
+@attrs.frozen
+class Knowledge:
+    """Facts and stop orders by name, and when each node was last heard."""
+
+    facts_by_node: typing.Mapping[str, Fact] = attrs.field(factory=dict)
+    heard_ms_by_node: typing.Mapping[str, clock.Millis] = attrs.field(
+        factory=dict
+    )
+    # The position of the last change that the order's sender knew.
+    basis_by_stop: typing.Mapping[StopKey, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Digest:
+    """A bounded part of a node's knowledge, as it is sent."""
+
+    sender: str
+    # Packed by `pack_ages`.
+    ages: bytes
+    facts_by_node: typing.Mapping[str, Fact]
+    basis_by_stop: typing.Mapping[StopKey, int]
