Launcher: stand-ins in sessions of their own

Cause: a SIGTERM to the launcher's process group also reached the stand-ins, which ended before the nodes had stopped gracefully. Change: a session for every stand-in process, as the nodes have. Conclusion: the launcher decides the order of the stop.

--- a/packages/standins/src/quetzalward_standins/_processes.py
+++ b/packages/standins/src/quetzalward_standins/_processes.py
@@ -127,8 +127,6 @@
     print(json.dumps(urls), flush=True)
     stopped = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
-    # A Ctrl-C reaches the whole group; the launcher decides the order.
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
     threading.Thread(
         target=_watch_launcher, args=(stopped,), daemon=True
     ).start()
--- a/packages/standins/src/quetzalward_standins/cluster.py
+++ b/packages/standins/src/quetzalward_standins/cluster.py
@@ -131,8 +131,9 @@
 
     def start_node(self, node: Node) -> None:
         """Start a node's process, also after it was stopped."""
-        # A session of its own keeps a terminal's Ctrl-C away from the node,
-        # so that the stop is always the graceful one.
+        # Sessions of their own keep signals to the launcher's process group,
+        # such as a terminal's Ctrl-C, away from nodes and stand-ins, so that
+        # the launcher decides the order of the stop.
         node.process = subprocess.Popen(
             [
                 sys.executable,
@@ -219,6 +220,7 @@
             [sys.executable, "-m", "quetzalward_standins", name],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
+            start_new_session=True,
         )
         self._processes.append(process)
         assert process.stdin and process.stdout
