Integer incarnations; a stopped engine side ends its threads

Cause: the agreed records compare incarnations as integers; stopped stand-ins of a test left threads behind. Change: integers again in reports, host list and orders; Fleet.stop.

--- a/packages/standins/src/quetzalward_standins/_fleet.py
+++ b/packages/standins/src/quetzalward_standins/_fleet.py
@@ -39,7 +39,7 @@
     """One accelerator host and what its process knows."""
 
     spec: HostSpec
-    incarnation: str = "1"
+    incarnation: int = 1
     state: str = LIVE
     paused: bool = False
     # Largest fencing token that an order has shown to this host.
@@ -59,7 +59,7 @@
 
     target: _target.Target
     model: str
-    members: list[tuple[Host, str]]
+    members: list[tuple[Host, int]]
     reports: collections.deque[tuple[clock.Millis, dict[str, _http.Json]]]
 
     @property
@@ -67,11 +67,11 @@
         """Return the host whose URL serves the group."""
         return self.members[0][0]
 
-    def holds(self, host: Host, incarnation: str) -> bool:
+    def holds(self, host: Host, incarnation: int) -> bool:
         """Tell whether a member is still this group's."""
         return host.group is self and host.incarnation == incarnation
 
-    def present(self) -> list[tuple[Host, str]]:
+    def present(self) -> list[tuple[Host, int]]:
         """Return the members that run and are still this group's."""
         return [
             (host, incarnation)
@@ -123,6 +123,7 @@
             report_lag_ms=settings.report_lag_ms,
             hosts_lag_ms=settings.hosts_lag_ms,
         )
+        self._stopped = threading.Event()
         self._base_url = ""
         self._frozen_ms: clock.Millis | None = None
         self._lists: collections.deque[tuple[clock.Millis, list[_http.Json]]]
@@ -135,6 +136,13 @@
         self._lists.append((self.clock.now_ms() - 3_600_000, self._listing()))
         threading.Thread(target=self._run_reports, daemon=True).start()
 
+    def stop(self) -> None:
+        """End the threads of the engines and of the reports."""
+        self._stopped.set()
+        with self.lock:
+            for group in list(self.groups.values()):
+                self.dissolve(group)
+
     def set_switches(self, switches: Switches) -> None:
         """Replace the switches."""
         with self.lock:
@@ -289,7 +297,7 @@
     def revive(self, host: Host) -> None:
         """Start a dead or paused host afresh with a new incarnation."""
         with self.lock:
-            host.incarnation = str(int(host.incarnation) + 1)
+            host.incarnation += 1
             self.remove_member(host)
             host.state = LIVE
             host.paused = False
@@ -321,8 +329,7 @@
         ]
 
     def _run_reports(self) -> None:
-        while True:
-            time.sleep(self.settings.report_every_ms / 1000)
+        while not self._stopped.wait(self.settings.report_every_ms / 1000):
             with self.lock:
                 groups = list(self.groups.values())
             for group in groups:
--- a/packages/standins/src/quetzalward_standins/_orders.py
+++ b/packages/standins/src/quetzalward_standins/_orders.py
@@ -24,7 +24,7 @@
     """A host as an `assign` order names it."""
 
     host: str
-    incarnation: str
+    incarnation: int
 
 
 @attrs.frozen
--- a/packages/standins/src/quetzalward_standins/_processes.py
+++ b/packages/standins/src/quetzalward_standins/_processes.py
@@ -99,7 +99,8 @@
         self.fleet.publish(self.urls["engines"])
 
     def stop(self) -> None:
-        """Stop the servers."""
+        """Stop the servers and the engines' threads."""
+        self.fleet.stop()
         for server in self._servers.values():
             server.stop()
 
--- a/packages/standins/tests/test_hosts.py
+++ b/packages/standins/tests/test_hosts.py
@@ -18,7 +18,7 @@
         super().setUp()
         self.serve("g1", [0, 1])
 
-    def present(self) -> list[tuple[str, str]]:
+    def present(self) -> list[tuple[str, int]]:
         hosts = self.report(0)["hosts"]
         return [(host["host"], host["incarnation"]) for host in hosts]
 
@@ -27,7 +27,7 @@
         self.fault(action="kill", host="host-1")
         self.assert_broken(answer)
         self.assertEqual(503, self.chat(0, support.draft("q", 1)).status)
-        self.assertEqual([("host-0", "1")], self.present())
+        self.assertEqual([("host-0", 1)], self.present())
         self.assertEqual("empty", self.report(0)["state"])
 
     def test_dead_first_host_does_not_answer(self) -> None:
@@ -41,10 +41,10 @@
         self.fault(action="pause", host="host-1")
         self.assert_broken(answer)
         self.assertEqual(503, self.chat(0, support.draft("q", 1)).status)
-        self.assertEqual([("host-0", "1")], self.present())
+        self.assertEqual([("host-0", 1)], self.present())
         self.fault(action="resume", host="host-1")
         self.assertEqual(200, self.chat(0, support.draft("q", 1)).status)
-        self.assertEqual([("host-0", "1"), ("host-1", "1")], self.present())
+        self.assertEqual([("host-0", 1), ("host-1", 1)], self.present())
 
     def test_paused_first_host_is_silent_until_it_resumes(self) -> None:
         answer = self.begin(0)
@@ -65,12 +65,12 @@
     def test_revived_host_is_a_stranger(self) -> None:
         self.fault(action="kill", host="host-1")
         self.fault(action="revive", host="host-1")
-        self.assertEqual([("host-0", "1")], self.present())
+        self.assertEqual([("host-0", 1)], self.present())
         self.assertEqual(503, self.chat(0, support.draft("q", 1)).status)
         report = self.report(1)
         self.assertEqual("", report["target"])
-        self.assertEqual("2", report["hosts"][0]["incarnation"])
-        old = [{"host": "host-1", "incarnation": "1"}]
+        self.assertEqual(2, report["hosts"][0]["incarnation"])
+        old = [{"host": "host-1", "incarnation": 1}]
         refused = self.order(1, "assign", 9, group="g2", hosts=old)
         self.assertEqual(409, refused.status)
 
