--- a/packages/standins/src/quetzalward_standins/_processes.py
+++ b/packages/standins/src/quetzalward_standins/_processes.py
@@ -99,7 +99,8 @@
         self.fleet.publish(self.urls["engines"])
 
     def stop(self) -> None:
-        """Stop the servers."""
+        """Stop the servers and the engines' threads."""
+        self.fleet.stop()
         for server in self._servers.values():
             server.stop()
 
@@ -127,8 +128,6 @@
     print(json.dumps(urls), flush=True)
     stopped = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
-    # A Ctrl-C reaches the whole group; the launcher decides the order.
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
     threading.Thread(
         target=_watch_launcher, args=(stopped,), daemon=True
     ).start()
