--- a/packages/node/src/quetzalward_node/callers/_engine.py
+++ b/packages/node/src/quetzalward_node/callers/_engine.py
@@ -78,9 +78,8 @@
     sent: bool = False
     tokens: int = 0
     first_token_ms: float | None = None
-    # Time spent waiting for tokens after the first one, and for the last.
+    # Time spent waiting for tokens after the first one.
     token_wait_ms: float = 0.0
-    last_wait_ms: float | None = None
     # Time waited since the last token; time in which the caller's slow
     # reading held the worker up is not the engine's.
     _waited_ms: float = 0.0
@@ -127,7 +126,6 @@
             self.first_token_ms = self._waited_ms
         else:
             self.token_wait_ms += self._waited_ms
-            self.last_wait_ms = self._waited_ms
         self.tokens += 1
         self._waited_ms = 0
 
--- a/packages/node/src/quetzalward_node/callers/_stream.py
+++ b/packages/node/src/quetzalward_node/callers/_stream.py
@@ -75,6 +75,8 @@
     _usage: dict[str, typing.Any] | None = None
     _may_have_run: bool = False
     _last_error: errors.QuetzalwardError | None = None
+    # When the last token was written to the caller.
+    _passed_on_ms: clocks.Millis | None = None
 
     def run(self) -> errors.QuetzalwardError | None:
         """Answer the request; returns the error that the sink was told of.
@@ -246,7 +248,7 @@
             verdict = self._positions.take(number, chunk.numbered)
             if verdict is streams.Verdict.DROP:
                 return
-            self._note_token(attempt)
+            self._note_token()
             phase = streams.Phase.TOKENS
         elif chunk.finishes:
             phase = streams.Phase.FINISH
@@ -257,16 +259,21 @@
             phase = streams.Phase.START
         self._phase = streams.Phase.FINISH if chunk.finishes else phase
         self.sink.send(self._position, chunk)
+        if chunk.is_token:
+            self._passed_on_ms = self.parts.clock.now_ms()
 
-    def _note_token(self, attempt: _engine.EngineAttempt) -> None:
+    def _note_token(self) -> None:
         meters = self.parts.meters
         model = self.route.model
+        now_ms = self.parts.clock.now_ms()
         meters.tokens.add(model)
-        if self._positions.sent == self.start.index + 1:
-            waited_ms = self.parts.clock.now_ms() - self.route.arrived_ms
+        if self._passed_on_ms is None:
+            waited_ms = now_ms - self.route.arrived_ms
             meters.first_token_ms.observe_ms(waited_ms, model)
-        elif attempt.last_wait_ms is not None:
-            meters.inter_token_ms.observe_ms(attempt.last_wait_ms, model)
+        else:
+            # Includes a failover; excludes the caller's slow reading.
+            waited_ms = now_ms - self._passed_on_ms
+            meters.inter_token_ms.observe_ms(waited_ms, model)
 
     def _note_failure(self, failure: _engine.AttemptFailedError) -> _Result:
         """Record a failed attempt and return its result as evidence."""
--- a/packages/node/tests/callers_fakes.py
+++ b/packages/node/tests/callers_fakes.py
@@ -20,6 +20,7 @@
 SECRET = b"a secret of the test cluster"
 KEYS_BY_CUSTOMER = {"north": "key-north", "south": "key-south"}
 WAIT_S = 20.0
+POLL_S = 0.01
 
 
 def configuration(**limits: typing.Any) -> config.Configuration:
@@ -483,6 +484,16 @@
         return socket.create_connection(self.address, WAIT_S)
 
 
+def wait_until(predicate: typing.Callable[[], bool]) -> bool:
+    """Poll until a predicate holds; false after `WAIT_S`."""
+    pause = threading.Event()
+    for _ in range(int(WAIT_S / POLL_S)):
+        if predicate():
+            return True
+        pause.wait(POLL_S)
+    return False
+
+
 def raw_request(
     path: str,
     document: typing.Any = None,
@@ -511,3 +522,57 @@
     except ConnectionError:
         pass
     return bytes(data)
+
+
+@attrs.frozen
+class Answer:
+    """One answer read from raw bytes."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+    @property
+    def problem(self) -> dict[str, typing.Any]:
+        """Return the problem details."""
+        return typing.cast(dict[str, typing.Any], json.loads(self.body))
+
+
+def _dechunk(data: bytes) -> tuple[bytes, bytes, bool]:
+    body = b""
+    while data:
+        size_line, _, data = data.partition(b"\r\n")
+        size = int(size_line, 16)
+        if size == 0:
+            return body, data.removeprefix(b"\r\n"), True
+        body += data[:size]
+        data = data[size + 2 :]
+    return body, b"", False
+
+
+def parse_answers(data: bytes) -> list[Answer]:
+    """Split raw bytes into answers, without interim ones."""
+    answers = []
+    while data:
+        head, found, data = data.partition(b"\r\n\r\n")
+        if not found:
+            raise AssertionError(f"no answer: {head!r}")
+        lines = head.decode("latin-1").split("\r\n")
+        protocol, status, _ = lines[0].split(" ", 2)
+        if protocol != "HTTP/1.1":
+            raise AssertionError(lines[0])
+        pairs = [line.split(": ", 1) for line in lines[1:]]
+        headers = {name.lower(): value for name, value in pairs}
+        complete = True
+        if status == "100":
+            continue
+        if "transfer-encoding" in headers:
+            body, data, complete = _dechunk(data)
+        elif "content-length" in headers:
+            length = int(headers["content-length"])
+            body, data = data[:length], data[length:]
+        else:
+            body, data = data, b""
+        answers.append(Answer(int(status), headers, body, complete))
+    return answers
