Wait for the server, not only the router, before the next request

Change: the test waits until no request is in progress; a test of targets behind a path prefix. Conclusion: the fault was in the test; the check itself is unchanged.

--- a/packages/node/tests/test_callers_streams.py
+++ b/packages/node/tests/test_callers_streams.py
@@ -80,6 +80,19 @@
     return "".join(parts)
 
 
+class BaseUrlTest(StreamTestCase):
+    """Guards against losing the path of a target's base URL."""
+
+    def test_engine_behind_a_path_gets_the_whole_path(self):
+        engine = callers_fakes.Engine()
+        self.start(engine)
+        self.front.router.urls[:] = [engine.url + "/h/host-1/"]
+        self.events()
+        self.events()
+        paths = [request[0] for request in engine.requests]
+        self.assertEqual(["/h/host-1/v1/completions"] * 2, paths)
+
+
 class FailoverTest(StreamTestCase):
     """Guards against lost, repeated or foreign tokens after a failure."""
 
@@ -345,6 +358,13 @@
                     count = len(engine.requests)
                     engine.wait_for(lambda: len(engine.requests) > count - 1)
                     sock.close()
+                # Callers still queued for a thread have not reached the
+                # router, so its balance alone says nothing about them.
+                self.assertTrue(
+                    callers_fakes.wait_until(
+                        lambda: self.front.server.in_progress == 0
+                    )
+                )
                 self.assertTrue(self.front.router.wait_balanced())
                 engine.script.stall_after = None
                 engine.released.set()
