Test that a stuck node cannot outlast the stop of a cluster

Cause: a node that ignores SIGTERM must not leave a process behind. Change: one test; the fake node can ignore the signal.

--- a/packages/standins/tests/fake_node.py
+++ b/packages/standins/tests/fake_node.py
@@ -110,7 +110,10 @@
     with open(sys.argv[sys.argv.index("--settings") + 1]) as file:
         node = FakeNode(json.load(file))
     stopped = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    ignores = node.settings.get("ignores_sigterm")
+    signal.signal(
+        signal.SIGTERM, signal.SIG_IGN if ignores else lambda *_: stopped.set()
+    )
     servers = []
     for name, handler in (
         ("listen", node.handle),
--- a/packages/standins/tests/test_cluster.py
+++ b/packages/standins/tests/test_cluster.py
@@ -10,6 +10,7 @@
 import sys
 import typing
 import unittest
+from unittest import mock
 
 import urllib3
 
@@ -71,6 +72,14 @@
         finally:
             running.stop()
 
+    def test_node_that_ignores_sigterm_is_killed(self) -> None:
+        running = cluster.Cluster(small(node_settings={"ignores_sigterm": 1}))
+        running.start()
+        with mock.patch.object(cluster, "NODE_STOP_TIMEOUT_S", 0.1):
+            running.stop()
+        codes = [n.process.returncode for n in running.nodes if n.process]
+        self.assertEqual([-signal.SIGKILL] * 2, codes)
+
     def test_refused_configuration_ends_the_start(self) -> None:
         running = cluster.Cluster(small(node_settings={"refuses_config": 1}))
         with self.assertRaisesRegex(cluster.ClusterError, "config_invalid"):
