Node application and command line

Cause: nothing built a node from its settings or stopped it gracefully.

The default builder raises NotImplementedError and names the missing tasks.

--- /dev/null
+++ b/packages/node/src/quetzalward_node/cli.py
@@ -0,0 +1,44 @@
+"""Command line of the node."""
+
+import sys
+
+import fire
+import logbook
+
+from quetzalward_core import errors
+from quetzalward_node import _settings
+from quetzalward_node import app
+
+EXIT_CUT_OFF = 1
+EXIT_INVALID = 2
+_FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S} {record.level_name} "
+    "{record.channel}: {record.message}"
+)
+
+
+def run_node(settings_path: str) -> int:
+    """Run a node until a stop signal and return the exit status."""
+    logbook.StreamHandler(
+        sys.stderr, level="INFO", format_string=_FORMAT
+    ).push_application()
+    try:
+        settings = _settings.load_settings(settings_path)
+        node = app.Node(settings)
+    except errors.QuetzalwardError as error:
+        print(f"{error}\n{error.answer.remedy}", file=sys.stderr)
+        return EXIT_INVALID
+    return 0 if node.run() else EXIT_CUT_OFF
+
+
+class Commands:
+    """The quetzalward node."""
+
+    def run(self, settings: str) -> None:
+        """Run a node with the settings in a JSON file."""
+        sys.exit(run_node(str(settings)))
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Commands, name="quetzalward-node")
--- /dev/null
+++ b/packages/node/tests/test_app.py
@@ -0,0 +1,180 @@
+"""Tests of the life of a node."""
+
+import contextlib
+import io
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import threading
+import unittest
+from unittest import mock
+
+import callers_fakes
+
+from quetzalward_core import errors
+from quetzalward_node import _settings
+from quetzalward_node import app
+from quetzalward_node import cli
+
+REQUEST = callers_fakes.raw_request(
+    "/v1/completions",
+    {"model": "small", "prompt": "p", "max_tokens": 3},
+    headers={"Connection": "close"},
+)
+
+
+class Recorder:
+    """A task that records its start and stop."""
+
+    def __init__(self, name, events, fails=False):
+        """Record into `events`."""
+        self.name = name
+        self.events = events
+        self.fails = fails
+
+    def start(self):
+        """Record the start."""
+        if self.fails:
+            raise OSError("no port")
+        self.events.append(f"start {self.name}")
+
+    def stop(self):
+        """Record the stop."""
+        self.events.append(f"stop {self.name}")
+
+
+class NodeTestCase(unittest.TestCase):
+    """Writes settings and builds nodes over fakes."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.secret = self.folder / "secret"
+        self.secret.write_text("0123456789abcdef\n")
+        self.events = []
+
+    def settings(self, **changes):
+        values = {
+            "name": "n1",
+            "zone": "z1",
+            "region": "r1",
+            "listen": "127.0.0.1:0",
+            "operators_listen": "127.0.0.1:0",
+            "peers_listen": "127.0.0.1:0",
+            "log_url": "http://127.0.0.1:1",
+            "hosts_url": "http://127.0.0.1:1",
+            "weights_url": "http://127.0.0.1:1",
+            "secret_file": str(self.secret),
+            "threads": 4,
+            **changes,
+        }
+        path = self.folder / "settings.json"
+        path.write_text(json.dumps(values))
+        return str(path)
+
+    def node(self, *names, fails=None):
+        self.engine = callers_fakes.Engine(stall_after=1)
+        self.addCleanup(self.engine.close)
+        router = callers_fakes.Router([self.engine.url])
+        configuration = callers_fakes.configuration()
+        running = tuple(
+            Recorder(name, self.events, name == fails) for name in names
+        )
+        settings = _settings.load_settings(self.settings())
+        return app.Node(
+            settings,
+            lambda context: app.Tasks(
+                router,
+                router,
+                callers_fakes.Calls(),
+                lambda: configuration,
+                running,
+            ),
+        )
+
+
+class StopTest(NodeTestCase):
+    """Guards against a stop signal that cuts off a request (R9)."""
+
+    def test_signal_finishes_the_request_in_progress(self):
+        for number in app.STOP_SIGNALS:
+            with self.subTest(signal=number):
+                self.events.clear()
+                self.check_signal(number)
+
+    def check_signal(self, number):
+        node = self.node("log", "dispatch")
+        seen = []
+        before = signal.getsignal(number)
+
+        def drive():
+            callers_fakes.wait_until(lambda: node.ready)
+            sock = callers_fakes.socket.create_connection(
+                node.callers.address, callers_fakes.WAIT_S
+            )
+            with sock:
+                sock.sendall(REQUEST)
+                self.engine.wait_for(lambda: bool(self.engine.requests))
+                os.kill(os.getpid(), number)
+                callers_fakes.wait_until(lambda: not node.ready)
+                seen.append(list(self.events))
+                self.engine.released.set()
+                seen.append(callers_fakes.receive_all(sock))
+
+        thread = threading.Thread(target=drive)
+        thread.start()
+        self.assertTrue(node.run())
+        thread.join(callers_fakes.WAIT_S)
+        self.assertEqual(["start log", "start dispatch"], seen[0])
+        answer = callers_fakes.parse_answers(seen[1])[0]
+        self.assertEqual(200, answer.status)
+        self.assertEqual(["stop dispatch", "stop log"], self.events[2:])
+        self.assertIs(before, signal.getsignal(number))
+
+    def test_failed_start_stops_what_was_started(self):
+        node = self.node("log", "dispatch", fails="dispatch")
+        with self.assertRaises(OSError):
+            node.start()
+        self.assertEqual(["start log", "stop log"], self.events)
+
+
+class SettingsTest(NodeTestCase):
+    """Guards against a node that starts with wrong settings."""
+
+    def assert_invalid(self, path, text):
+        stderr = io.StringIO()
+        with contextlib.redirect_stderr(stderr):
+            self.assertEqual(cli.EXIT_INVALID, cli.run_node(path))
+        self.assertIn(text, stderr.getvalue())
+
+    def test_invalid_settings_name_file_and_cause(self):
+        self.assert_invalid(str(self.folder / "none.json"), "none.json")
+        self.assert_invalid(self.settings(zones="x"), "zones")
+        self.secret.write_text("short")
+        self.assert_invalid(self.settings(), "shorter than 16 bytes")
+        self.secret.unlink()
+        self.assert_invalid(self.settings(), "secret_file")
+
+    def test_secret_is_stripped(self):
+        secret = app.read_secret(str(self.secret))
+        self.assertEqual(b"0123456789abcdef", secret)
+        with self.assertRaises(errors.QuetzalwardError):
+            app.read_secret(str(self.folder))
+
+    def test_missing_tasks_are_named(self):
+        settings = _settings.load_settings(self.settings())
+        with self.assertRaisesRegex(NotImplementedError, "dispatch"):
+            app.Node(settings)
+
+    def test_command_line_passes_the_file(self):
+        arguments = ["quetzalward-node", "run", "--settings", "a.json"]
+        with mock.patch.object(sys, "argv", arguments):
+            with mock.patch.object(cli, "run_node", return_value=5) as run:
+                with self.assertRaises(SystemExit) as raised:
+                    cli.main()
+        run.assert_called_once_with("a.json")
+        self.assertEqual(5, raised.exception.code)
--- a/packages/node/tests/test_callers_streams.py
+++ b/packages/node/tests/test_callers_streams.py
@@ -340,10 +340,11 @@
                 engine = callers_fakes.Engine(stall_after=stall_after)
                 self.start(engine, threads=4)
                 # More callers than threads, so that leaks would show.
-                for _ in range(8):
+                for number in range(1, 9):
                     sock = self.send()
-                    count = len(engine.requests)
-                    engine.wait_for(lambda: len(engine.requests) > count - 1)
+                    self.assertTrue(
+                        engine.wait_for(lambda: len(engine.requests) >= number)
+                    )
                     sock.close()
                 self.assertTrue(self.front.router.wait_balanced())
                 engine.script.stall_after = None
