Callers: refuse early, free descriptors, limits in force, one log per fault

Cause: a caller that left while queued still reached an engine; a node out of file descriptors spun on its listener; connections kept the limits of their first request; kernel send buffers had no bound; each unexpected error wrote a log line.

Change: the interruption is checked again after a grant; accepting pauses until the next expiry after a failed accept; limits are applied per request; send buffers are 256 KiB; an unexpected error is logged once per place; an error at one connection costs only that connection; answers of a stopping node close their connection; the process raises its file limit.

--- a/packages/node/src/quetzalward_node/app.py
+++ b/packages/node/src/quetzalward_node/app.py
@@ -1,6 +1,7 @@
 """A node: builds its tasks, runs them and stops them gracefully."""
 
 import pathlib
+import resource
 import signal
 import threading
 import types
@@ -90,6 +91,15 @@
     return secret
 
 
+def raise_file_limit() -> None:
+    """Allow as many open files as the system lets this process have.
+
+    The usual soft limit of 1,024 is below the callers' connections.
+    """
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 class Node:
     """One node of the system."""
 
@@ -135,6 +145,7 @@
 
         Returns false if requests had to be cut off after the stop timeout.
         """
+        raise_file_limit()
         self.start()
         previous = {
             number: signal.signal(number, self._on_signal)
--- a/packages/node/src/quetzalward_node/callers/_connection.py
+++ b/packages/node/src/quetzalward_node/callers/_connection.py
@@ -200,6 +200,12 @@
         self.held_bytes = 0
         self._closed = False
 
+    def apply_limits(self) -> None:
+        """Take over the limits now in force, for the next request."""
+        limits = self.server.configuration().limits
+        self.framer.max_header_bytes = limits.max_header_bytes
+        self.framer.max_body_bytes = limits.max_body_bytes
+
     def hand_over(
         self, framed: _framing.FramedRequest, arrived_ms: int
     ) -> None:
--- a/packages/node/src/quetzalward_node/callers/_gate.py
+++ b/packages/node/src/quetzalward_node/callers/_gate.py
@@ -22,6 +22,8 @@
 
 RECEIVE_BYTES = 65_536
 ACCEPTS_PER_TURN = 64
+# The kernel doubles it, which makes 256 KiB per caller.
+SEND_BYTES = 131_072
 # Long enough for a caller to read its error answer before the close.
 LINGER_MS = 2_000
 LINGER_MAX_BYTES = 4_194_304
@@ -46,8 +48,6 @@
 class Gate:
     """Stands in for cheroot's `ConnectionManager`."""
 
-    can_add_keepalive_connection = True
-
     def __init__(
         self,
         server: typing.Any,
@@ -74,10 +74,16 @@
         self._open: set[_connection.CallerConnection] = set()
         self._open_lock = threading.Lock()
         self._held_bytes = 0
+        self._accepting = True
         self._stop_requested = False
         self._stopped = threading.Event()
         self._expired_ms = clock.now_ms()
 
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Return whether answers may leave their connection open."""
+        return self._server.refusal() is None
+
     @property
     def open_connections(self) -> int:
         """Return the number of open connections."""
@@ -135,22 +141,39 @@
             elif key.fileobj is self._wake_reader:
                 self._take_returned()
             else:
-                self._receive(key.data)
+                self._guarded(self._receive, key.data)
         now_ms = self._clock.now_ms()
         if now_ms - self._expired_ms >= EXPIRY_INTERVAL_MS:
             self._expired_ms = now_ms
             self._expire(now_ms)
 
+    def _guarded(
+        self,
+        step: typing.Callable[[_connection.CallerConnection], None],
+        conn: _connection.CallerConnection,
+    ) -> None:
+        """Run a step; an unexpected error costs only its own connection."""
+        try:
+            step(conn)
+        except Exception as error:
+            self._server.error_log(f"connection dropped: {error!r}")
+            self._drop(conn)
+
     def _accept(self) -> None:
         for _ in range(ACCEPTS_PER_TURN):
             try:
                 sock, address = self._listener.accept()
+            except (BlockingIOError, ConnectionError):
+                return
             except OSError:
-                # Nothing left, or no file descriptor left; the latter ends
-                # when a connection closes.
+                # No file descriptor is left. The listener stays readable, so
+                # the thread would spin; accepting resumes at the next expiry.
+                self._selector.unregister(self._listener)
+                self._accepting = False
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
             conn = _connection.CallerConnection(self._server, sock)
             conn.remote_addr, conn.remote_port = address[:2]
             with self._open_lock:
@@ -204,11 +227,12 @@
             conn = self._returned.popleft()
             try:
                 conn.socket.setblocking(False)
+                conn.apply_limits()
                 self._watch(conn, self._limits.idle_timeout_ms)
             except (OSError, ValueError):
                 self._drop(conn)
                 continue
-            self._advance(conn)
+            self._guarded(self._advance, conn)
 
     def _receive(self, conn: _connection.CallerConnection) -> None:
         if conn not in self._waiting:
@@ -303,6 +327,9 @@
         )
 
     def _expire(self, now_ms: clocks.Millis) -> None:
+        if not self._accepting:
+            self._selector.register(self._listener, selectors.EVENT_READ)
+            self._accepting = True
         late = [c for c in self._waiting if c.wait.deadline_ms <= now_ms]
         for conn in late:
             if conn.wait.lingering or self._is_idle(conn):
--- a/packages/node/src/quetzalward_node/callers/_routes.py
+++ b/packages/node/src/quetzalward_node/callers/_routes.py
@@ -4,6 +4,7 @@
 import json
 import secrets
 import threading
+import traceback
 import typing
 
 import attrs
@@ -30,6 +31,7 @@
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
 MAX_TRACED_CHARS = 200
+MAX_LOGGED_PLACES = 100
 BUSY_RETRY_MS = 1_000
 SEED_BITS = 31
 
@@ -64,7 +66,8 @@
         self._meters = parts.drafts.meters
         self._authenticator = _customers.Authenticator()
         self._streams = 0
-        self._streams_lock = threading.Lock()
+        self._logged_places: set[str] = set()
+        self._lock = threading.Lock()
 
     @property
     def stream_count(self) -> int:
@@ -80,11 +83,7 @@
         try:
             result = self._answer(exchange, route, span)
         except Exception as error:
-            _LOG.error(
-                "request {} failed: {}",
-                exchange.request_id,
-                _problems.escape(repr(error)),
-            )
+            self._log_once(error)
             internal = _error(errors.ErrorKind.INTERNAL, "unexpected error")
             with contextlib.suppress(_exceptions.CallerGoneError):
                 exchange.fail(internal)
@@ -95,6 +94,18 @@
             span.set_attribute("result", result)
             span.end()
 
+    def _log_once(self, error: Exception) -> None:
+        """Log an unexpected error the first time it occurs at a place."""
+        frames = traceback.extract_tb(error.__traceback__)
+        place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        with self._lock:
+            known = place in self._logged_places
+            if known or len(self._logged_places) >= MAX_LOGGED_PLACES:
+                return
+            self._logged_places.add(place)
+        lines = "".join(traceback.format_exception(error)).splitlines()
+        _LOG.error("unexpected: {}", " | ".join(map(_problems.escape, lines)))
+
     def _entry_span(
         self, exchange: _connection.Exchange, route: str
     ) -> trace.Span:
@@ -243,7 +254,7 @@
     @contextlib.contextmanager
     def _stream_slot(self, limit: int) -> typing.Iterator[None]:
         """Hold one of the node's streams; keeps threads free for the rest."""
-        with self._streams_lock:
+        with self._lock:
             if self._streams >= limit:
                 raise _error(
                     errors.ErrorKind.OVERLOADED,
@@ -254,7 +265,7 @@
         try:
             yield
         finally:
-            with self._streams_lock:
+            with self._lock:
                 self._streams -= 1
 
     def _models(
--- a/packages/node/src/quetzalward_node/callers/_stream.py
+++ b/packages/node/src/quetzalward_node/callers/_stream.py
@@ -124,6 +124,7 @@
         attempt = None
         spans = self._start_spans(grant)
         try:
+            self._raise_if_interrupted()
             attempt = self._engine_attempt(grant, spans.target)
             self._relay(attempt, number)
             result = _Result.OK
@@ -131,9 +132,9 @@
         except _engine.AttemptFailedError as failure:
             result = self._note_failure(failure)
             if failure.final:
-                raise failure.error from failure
+                raise self._give_up() from failure
             return False
-        except _exceptions.CallerGoneError:
+        except (_exceptions.CallerGoneError, errors.QuetzalwardError):
             result = _Result.CANCELLED
             raise
         finally:
