Write to callers without cheroot's buffer; tests of kept connections

Change: answers go to the caller's socket directly; the send timeout is the kernel's. Tests show that only repeatable calls use kept connections and that single dot segments are refused.

--- a/packages/node/src/quetzalward_node/callers/_connection.py
+++ b/packages/node/src/quetzalward_node/callers/_connection.py
@@ -34,6 +34,25 @@
         return False
 
 
+class DirectWriter:
+    """Writes to a blocking socket without a buffer.
+
+    cheroot's own writer is a buffer in Python over a socket with a Python
+    timeout, which costs a poll and a copy for each token.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Write to a socket whose send timeout is the kernel's."""
+        self._sock = sock
+        self.bytes_written = 0
+
+    def write(self, data: bytes) -> int:
+        """Send everything, or raise `OSError`."""
+        self._sock.sendall(data)
+        self.bytes_written += len(data)
+        return len(data)
+
+
 class Exchange:
     """One request and the answer to it.
 
@@ -190,6 +209,7 @@
     def __init__(self, server: typing.Any, sock: socket.socket) -> None:
         """Wrap an accepted socket."""
         super().__init__(server, sock)
+        self.wfile = DirectWriter(sock)
         limits = server.configuration().limits
         self.framer = _framing.Framer(
             limits.max_header_bytes, limits.max_body_bytes
--- a/packages/node/src/quetzalward_node/callers/_gate.py
+++ b/packages/node/src/quetzalward_node/callers/_gate.py
@@ -9,6 +9,7 @@
 import contextlib
 import selectors
 import socket
+import struct
 import threading
 import typing
 
@@ -171,9 +172,7 @@
                 self._selector.unregister(self._listener)
                 self._accepting = False
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+            self._set_options(sock)
             conn = _connection.CallerConnection(self._server, sock)
             conn.remote_addr, conn.remote_port = address[:2]
             with self._open_lock:
@@ -182,6 +181,16 @@
             if len(self._open) > self._limits.connections:
                 self._make_room(conn)
 
+    def _set_options(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+        seconds, rest_ms = divmod(
+            self._limits.write_timeout_ms, clocks.MILLIS_PER_SECOND
+        )
+        timeout = struct.pack("ll", seconds, rest_ms * 1000)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeout)
+
     def _make_room(self, newest: _connection.CallerConnection) -> None:
         """Close the longest idle connection, or refuse the newest one."""
         idle = [
@@ -292,8 +301,8 @@
             return
         self._unwatch(conn)
         conn.hand_over(framed, self._clock.now_ms())
-        timeout_s = self._limits.write_timeout_ms / clocks.MILLIS_PER_SECOND
-        conn.socket.settimeout(timeout_s)
+        # Sends time out in the kernel, see `_set_options`.
+        conn.socket.settimeout(None)
         if not self._server.submit(conn):
             conn.socket.setblocking(False)
             self._watch(conn, LINGER_MS)
--- a/packages/node/tests/callers_fakes.py
+++ b/packages/node/tests/callers_fakes.py
@@ -243,6 +243,7 @@
         length = int(self.headers.get("Content-Length") or 0)
         body = self.rfile.read(length)
         with service.changed:
+            service.peers.append(self.client_address)
             service.requests.append(
                 (self.command, self.path, self.headers.items(), body)
             )
@@ -278,6 +279,7 @@
         """Serve `{}` with status 200."""
         self.changed = threading.Condition()
         self.requests: list[tuple[str, str, list, bytes]] = []
+        self.peers: list[tuple[str, int]] = []
         self.status = 200
         self.answer = b"{}"
         self.cut_at: int | None = None
--- a/packages/node/tests/test_callers_services.py
+++ b/packages/node/tests/test_callers_services.py
@@ -124,7 +124,12 @@
 
     def test_dot_segments_and_odd_methods_are_refused(self):
         self.start(callers_fakes.Service())
-        for path in ("/stock/../x", "/stock/%2e%2e/x", "/stock/.%2E%5cx"):
+        for path in (
+            "/stock/./x",
+            "/stock/../x",
+            "/stock/%2e%2e/x",
+            "/stock/.%2E%5cx",
+        ):
             called = self.call("GET", path)
             self.assert_problem("malformed_request", "not_run", called)
         called = self.call("TRACE", "/stock")
@@ -142,6 +147,15 @@
         self.assert_problem("target_failed", "unknown", called)
         self.assertEqual([1, 0], self.runs())
 
+    def test_only_repeatable_calls_use_kept_connections(self):
+        self.start(callers_fakes.Service())
+        for key in (None, "a", None, "b"):
+            self.call("POST", "/bookings", b"{}", key)
+        self.assertEqual(4, len(set(self.services[0].peers)))
+        for _ in range(4):
+            self.call("GET", "/stock")
+        self.assertEqual(4, len(set(self.services[0].peers)))
+
     def test_error_status_is_passed_on_and_not_repeated(self):
         self.start(callers_fakes.Service(), callers_fakes.Service())
         self.services[0].status = 503
