--- a/packages/node/src/quetzalward_node/__main__.py
+++ b/packages/node/src/quetzalward_node/__main__.py
@@ -1,4 +1,4 @@
-"""Entry point of `python -m quetzalward_node`."""
+"""Runs the node's command line with `python -m quetzalward_node`."""
 
 from quetzalward_node import cli
 
--- a/packages/node/src/quetzalward_node/app.py
+++ b/packages/node/src/quetzalward_node/app.py
@@ -1,269 +1,194 @@
-"""A node: builds the tasks, starts them in order and stops them gracefully."""
+"""A node: builds its tasks, runs them and stops them gracefully."""
 
 import pathlib
-import random
-import secrets
+import resource
 import signal
 import threading
+import types
 import typing
 
+import attrs
 import logbook
 
-from quetzalward_core import agreement
 from quetzalward_core import clock as clocks
+from quetzalward_core import config
 from quetzalward_core import errors
-from quetzalward_core import limits
-from quetzalward_node import _service_status
 from quetzalward_node import _settings
 from quetzalward_node import callers
-from quetzalward_node import control
-from quetzalward_node import dispatch
-from quetzalward_node import groups
 from quetzalward_node import interfaces
-from quetzalward_node import log
-from quetzalward_node import operators
-from quetzalward_node import targets
 from quetzalward_node import telemetry
 
-_LOG = logbook.Logger(__name__)
-CALLS_FLUSH_MS = 5_000
-MAX_HEAD_AGE_MS = 5_000
 MIN_SECRET_BYTES = 16
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
+_LOG = logbook.Logger("node")
 
-class _Alone:
-    """Peer knowledge of a node without peers: only the log counts."""
 
-    def __init__(self, log_task: log.ControlLogTask) -> None:
-        self._log = log_task
-        self.stops = control.LocalStops()
+class Task(typing.Protocol):
+    """A task with threads of its own."""
 
-    def freshness(self) -> interfaces.Freshness:
-        fresh = self._log.head_age_ms() <= MAX_HEAD_AGE_MS
-        return interfaces.Freshness(not fresh, fresh)
+    def start(self) -> None:
+        """Start the task's threads."""
+
+    def stop(self) -> None:
+        """Stop the task's threads and wait for their end."""
+
+
+@attrs.frozen
+class Tasks:
+    """The tasks behind the callers' port, as one set that fits together."""
+
+    dispatcher: interfaces.Dispatcher
+    services: interfaces.ServiceRouter
+    calls: interfaces.CallRegistry
+    # The configuration in force.
+    configuration: typing.Callable[[], config.Configuration]
+    # Started in this order and stopped in the opposite one.
+    running: tuple[Task, ...] = ()
+
+
+@attrs.frozen
+class Context:
+    """What every task is built from."""
+
+    settings: _settings.Settings
+    secret: bytes
+    clock: clocks.Clock
+    telemetry: telemetry.Telemetry
 
-    def stopped_zones(self) -> dict[str, int]:
-        return self.stops.zones()
 
-    def stopped_targets(self) -> dict[str, int]:
-        return self.stops.targets()
+Builder = typing.Callable[[Context], Tasks]
 
-    def status_by_node(self) -> dict[str, interfaces.PeerStatus]:
-        return {}
 
-    def publish(self, demands: typing.Mapping[str, limits.Demand]) -> None:
-        del demands
+def build_tasks(context: Context) -> Tasks:
+    """Build the tasks behind the callers' port.
 
-    def others(self) -> dict[str, dict[str, limits.Demand]]:
-        return {}
+    Raises `NotImplementedError`: the dispatch, log, peers, targets, groups
+    and operators tasks are not part of this version.
+    """
+    raise NotImplementedError(
+        "this version has no dispatch, log, peers, targets, groups and "
+        "operators tasks; a node cannot run yet"
+    )
 
-    def ask(self, node: str, intent_id: str) -> interfaces.DispatcherAnswer:
-        del node, intent_id
-        return interfaces.DispatcherAnswer.UNREACHABLE
 
+def read_secret(path: str) -> bytes:
+    """Return the cluster's secret.
 
-def _read_secret(path: str) -> bytes:
+    Raises `QuetzalwardError` of kind `config_invalid`.
+    """
     try:
         secret = pathlib.Path(path).read_bytes().strip()
     except OSError as error:
         raise errors.QuetzalwardError(
-            errors.ErrorKind.CONFIG_INVALID, f"secret_file: {error}"
+            errors.ErrorKind.CONFIG_INVALID, f"secret_file {path}: {error}"
         ) from error
     if len(secret) < MIN_SECRET_BYTES:
         raise errors.QuetzalwardError(
             errors.ErrorKind.CONFIG_INVALID,
-            f"secret_file: {path} must hold at least {MIN_SECRET_BYTES} bytes",
+            f"secret_file {path}: shorter than {MIN_SECRET_BYTES} bytes",
         )
     return secret
 
 
-class Node:
-    """All tasks of one node process."""
+def raise_file_limit() -> None:
+    """Allow as many open files as the system lets this process have.
 
-    def __init__(self, settings: _settings.Settings) -> None:
-        """Build the tasks; nothing runs before `start`."""
-        self._settings = settings
-        self._clock = clocks.SystemClock()
-        self._nonce = secrets.token_hex(8)
-        self._stopping = threading.Event()
-        self._secret = _read_secret(settings.secret_file)
-        self._telemetry = telemetry.create(settings.name, settings.trace_file)
-        self._build_control()
-        self._build_routing()
-        self._build_groups()
-        self._build_callers()
-        self._build_operators()
-
-    def _build_control(self) -> None:
-        settings = self._settings
-        self._writer = agreement.writer_name(settings.name, self._nonce)
-        self._store = log.HttpLogStore(settings.log_url)
-        self._control = log.ControlLogTask(
-            self._store, self._writer, self._clock
-        )
-        self._configuration = control.ConfigurationHolder(self._control.state)
-        self._peers = _Alone(self._control)
-        self._source = control.ControlViewSource(
-            self._control.state, self._configuration, self._peers
-        )
-        joined = agreement.NodeJoined(
-            settings.name,
-            self._nonce,
-            settings.zone,
-            settings.region,
-            settings.listen,
-            settings.peers_listen,
-            settings.operators_listen,
-        )
-        self._registration = control.Registration(
-            self._control, joined, self._peers, self._clock, random.Random()
-        )
+    The usual soft limit of 1,024 is below the callers' connections.
+    """
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
-    def _build_routing(self) -> None:
-        settings = self._settings
-        self._dispatch = dispatch.DispatchTask(
-            settings.name,
-            settings.zone,
-            self._source,
-            self._peers,
-            self._clock,
-            random.Random(),
-        )
-        self._targets = targets.TargetsTask(
-            settings.name,
-            settings.zone,
-            settings.hosts_url,
-            self._source,
-            self._dispatch,
-            self._clock,
-            random.Random(),
-        )
 
-    def _build_groups(self) -> None:
-        settings = self._settings
-        self._groups = groups.GroupManagerTask(
-            self._control,
-            groups.ListedHostSource(lambda: self._targets.view().host_list),
-            groups.HttpEngineClient(),
-            self._clock,
-            settings.name,
-            settings.zone,
-        )
+class Node:
+    """One node of the system."""
 
-    def _build_callers(self) -> None:
-        settings = self._settings
-        self._calls = log.CallRegistryTask(
-            self._store,
-            self._writer,
-            settings.call_streams,
-            self._clock,
-            self._peers,
-            _service_status.ServiceStatus(self._configuration.current),
-            lambda: self._configuration.current().calls,
-        )
-        self._callers = callers.CallersServer(
-            settings.listen,
-            settings.threads,
-            self._secret,
-            self._dispatch,
-            dispatch.ServiceRouting(self._dispatch),
-            self._calls,
-            self._configuration.current,
-            self._clock,
-            self._telemetry,
-        )
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        build: Builder = build_tasks,
+        clock: clocks.Clock | None = None,
+    ) -> None:
+        """Build every task; `run` or `start` starts them.
 
-    def _build_operators(self) -> None:
-        settings = self._settings
-        self._pending = operators.PendingStops(self._control, self._clock)
-        api = operators.OperatorsApi(
-            control=self._control,
-            configuration=self._configuration.current,
-            fleet=self._peers,
-            stop_orders=self._peers.stops,
-            pending=self._pending,
-            time=self._clock,
-            targets=dict,
-            not_ready=self.not_ready,
-            drain=self._stopping.set,
-        )
-        observability = operators.Observability(
-            self.not_ready,
-            self._telemetry.metrics.render,
-            telemetry.CONTENT_TYPE,
-            lambda request_id: [],
-        )
-        host, _, port = settings.operators_listen.rpartition(":")
-        self._operators = operators.OperatorsServer(
-            (host, int(port)),
-            api,
-            observability,
-            settings.bootstrap_operator_sha256,
+        Raises `QuetzalwardError` of kind `config_invalid`.
+        """
+        self._settings = settings
+        self.telemetry = telemetry.create(settings.name, settings.trace_file)
+        context = Context(
+            settings,
+            read_secret(settings.secret_file),
+            clock or clocks.SystemClock(),
+            self.telemetry,
         )
-        self._operators_thread = threading.Thread(
-            target=self._operators.serve, name="operators", daemon=True
+        self._tasks = build(context)
+        self.callers = callers.CallersServer(
+            listen=settings.listen,
+            threads=settings.threads,
+            secret=context.secret,
+            dispatcher=self._tasks.dispatcher,
+            services=self._tasks.services,
+            calls=self._tasks.calls,
+            configuration=self._tasks.configuration,
+            clock=context.clock,
+            telemetry=self.telemetry,
         )
+        self._stop_requested = threading.Event()
 
-    def not_ready(self) -> list[str]:
-        """Return why this node should get no new callers; empty if ready."""
-        reasons = []
-        if self._stopping.is_set():
-            reasons.append("stopping")
-        if not self._control.ready() or not self._calls.ready():
-            reasons.append("the log has not been read yet")
-        elif self._configuration.revision() == 0:
-            reasons.append("no configuration is in force")
-        elif not self._registration.registered():
-            reasons.append("not registered on the log")
-        if self._source.view().isolated:
-            reasons.append("isolated from the log and from other nodes")
-        if not self._callers.accepting:
-            reasons.append("not accepting callers")
-        return reasons
+    @property
+    def ready(self) -> bool:
+        """Return whether the node takes new requests, for `/readyz`."""
+        return self.callers.accepting
 
-    def start(self) -> None:
-        """Start every task.
+    def run(self) -> bool:
+        """Serve until a stop signal; only in the main thread.
 
-        Raises `OSError` if an address cannot be bound.
+        Returns false if requests had to be cut off after the stop timeout.
         """
-        self._operators.prepare()
-        self._operators_thread.start()
-        self._control.start()
-        self._calls.start()
-        self._pending.start()
-        self._dispatch.start()
-        self._targets.start()
-        self._groups.start()
-        self._callers.start()
-        self._registration.start()
+        raise_file_limit()
+        self.start()
+        previous = {
+            number: signal.signal(number, self._on_signal)
+            for number in STOP_SIGNALS
+        }
+        try:
+            self._stop_requested.wait()
+        finally:
+            clean = self.stop()
+            for number, handler in previous.items():
+                signal.signal(number, handler)
+        return clean
+
+    def start(self) -> None:
+        """Start every task, the callers' port last."""
+        started: list[Task] = []
+        try:
+            for task in self._tasks.running:
+                task.start()
+                started.append(task)
+            self.callers.start()
+        except BaseException:
+            for task in reversed(started):
+                task.stop()
+            raise
         _LOG.info("node {} started", self._settings.name)
 
     def request_stop(self) -> None:
-        """Begin a graceful shutdown; `run` carries it out."""
-        self._stopping.set()
+        """Make `run` stop gracefully."""
+        self._stop_requested.set()
 
-    def run(self) -> None:
-        """Start, wait for SIGTERM, SIGINT or an operator, and stop."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.request_stop())
-        self.start()
-        self._stopping.wait()
-        self.stop()
+    def stop(self) -> bool:
+        """Refuse new requests, finish those in progress, stop every task.
 
-    def stop(self) -> None:
-        """Finish what is in progress, then stop every task."""
-        self._stopping.set()
-        _LOG.info("node {} stops gracefully", self._settings.name)
-        self._dispatch.stop_admission()
-        self._callers.drain(self._settings.stop_timeout_ms)
-        self._groups.stop()
-        self._dispatch.stop()
-        self._targets.stop()
-        self._calls.stop(self._clock.now_ms() + CALLS_FLUSH_MS)
-        self._registration.stop()
-        self._pending.stop()
-        self._control.stop()
-        self._operators.stop()
-        self._operators_thread.join()
-        self._telemetry.tracing.close()
+        Returns false if some had to be cut off after the stop timeout.
+        """
+        _LOG.info("node {} stopping", self._settings.name)
+        clean = self.callers.drain(self._settings.stop_timeout_ms)
+        for task in reversed(self._tasks.running):
+            task.stop()
+        self.telemetry.tracing.close()
         _LOG.info("node {} stopped", self._settings.name)
+        return clean
+
+    def _on_signal(self, number: int, frame: types.FrameType | None) -> None:
+        self.request_stop()
