--- a/packages/core/src/quetzalward_core/routing/_load.py
+++ b/packages/core/src/quetzalward_core/routing/_load.py
@@ -42,12 +42,15 @@
         self._ended = [pair for pair in self._ended if pair[1] > as_of_ms]
 
     def change_since(self, as_of_ms: clock.Millis) -> int:
-        """Return this node's own change of the load since the report."""
-        sent = sum(1 for ms in self.in_flight.values() if ms > as_of_ms)
+        """Return this node's own change of the load since the report.
+
+        What happened in the report's own millisecond counts as load.
+        """
+        sent = sum(1 for ms in self.in_flight.values() if ms >= as_of_ms)
         gone = sum(
             1
             for sent_ms, ended_ms in self._ended
-            if sent_ms <= as_of_ms < ended_ms
+            if sent_ms < as_of_ms < ended_ms
         )
         return sent - gone
 
@@ -63,4 +66,5 @@
     age_ms = max(0, now_ms - report.as_of_ms)
     weight = math.exp(-age_ms / decay_ms)
     reported = mean_load + (report.load - mean_load) * weight
-    return max(0.0, reported + tracker.change_since(report.as_of_ms))
+    estimate = reported + tracker.change_since(report.as_of_ms)
+    return max(float(len(tracker.in_flight)), estimate)
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -145,6 +145,7 @@
     def test_waiting_as_told_is_enough(self) -> None:
         bucket = limits.TokenBucket(0)
         self.assertIsNone(bucket.take(2.0, 0))
+        self.assertIsNone(bucket.take(2.0, 0))
         wait_ms = bucket.take(2.0, 0)
         assert wait_ms is not None
         self.assertIsNone(bucket.take(2.0, wait_ms + 1))
