--- a/packages/core/src/quetzalward_core/coldstart/_slots.py
+++ b/packages/core/src/quetzalward_core/coldstart/_slots.py
@@ -86,13 +86,10 @@
     ) -> None:
         """Apply the nodes and targets of the fold, as seen at `now_ms`.
 
-        Must be called at least every `MAX_UPDATE_GAP_MS`.
+        This or `heartbeat` must be called every `MAX_UPDATE_GAP_MS`.
         """
-        last_ms = self._updated_ms
-        self._updated_ms = now_ms
-        paused = last_ms is None or now_ms - last_ms > MAX_UPDATE_GAP_MS
         found = frozenset(nodes)
-        if paused:
+        if self._paused(now_ms):
             self._restart(found, now_ms)
         elif found != self._nodes:
             self._move(found, now_ms)
@@ -103,6 +100,28 @@
             self._targets[target_id] = added
             self._extend(target_id, added, self._default_bearable, now_ms)
 
+    def configure(
+        self, default_bearable: int, request_timeout_ms: int
+    ) -> None:
+        """Apply changed settings from the next report on.
+
+        A shorter timeout does not end the requests sent under a longer one,
+        so the longest one stays in use.
+        """
+        self._default_bearable = default_bearable
+        self._timeout_ms = max(self._timeout_ms, request_timeout_ms)
+
+    def heartbeat(self, now_ms: clock.Millis) -> None:
+        """Note that the fold's nodes and targets are still the same."""
+        if self._paused(now_ms):
+            self._restart(self._nodes, now_ms)
+
+    def _paused(self, now_ms: clock.Millis) -> bool:
+        """Note the time; return whether slots may have moved unseen."""
+        last_ms = self._updated_ms
+        self._updated_ms = now_ms
+        return last_ms is None or now_ms - last_ms > MAX_UPDATE_GAP_MS
+
     def owned_targets(self) -> frozenset[str]:
         """Return the targets of which this node owns a default slot."""
         return frozenset(
--- a/packages/core/src/quetzalward_core/limits/_retry.py
+++ b/packages/core/src/quetzalward_core/limits/_retry.py
@@ -21,6 +21,10 @@
         self._requests: collections.deque[clock.Millis] = collections.deque()
         self._retries: collections.deque[clock.Millis] = collections.deque()
 
+    def configure(self, percent: float) -> None:
+        """Apply a changed setting to the next retry."""
+        self._percent = percent
+
     def requested(self, now_ms: clock.Millis) -> None:
         """Count a first attempt."""
         self._requests.append(now_ms)
--- a/packages/core/src/quetzalward_core/routing/_ejection.py
+++ b/packages/core/src/quetzalward_core/routing/_ejection.py
@@ -39,6 +39,11 @@
         self._max_fraction = max_fraction
         self._evidence: dict[str, _Evidence] = {}
 
+    def configure(self, ratio: float, max_fraction: float) -> None:
+        """Apply changed settings to the next decision."""
+        self._ratio = ratio
+        self._max_fraction = max_fraction
+
     def observe(self, target_id: str, token_ms: float) -> None:
         """Note a measured or reported inter-token latency."""
         evidence = self._evidence.setdefault(target_id, _Evidence())
--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -9,6 +9,7 @@
 from quetzalward_core import coldstart
 from quetzalward_core import config
 from quetzalward_core import routing
+from quetzalward_node.dispatch import _records
 from quetzalward_node import interfaces
 
 # Requests waiting at a target that names no capacity before it counts as full.
@@ -25,29 +26,6 @@
     zone: str
 
 
-@attrs.define
-class _Target:
-    """This node's own knowledge of one target."""
-
-    tracker: routing.LoadTracker = attrs.field(factory=routing.LoadTracker)
-    prefixes: routing.PrefixIndex = attrs.field(factory=routing.PrefixIndex)
-    was_cold: bool = False
-    warm_since_ms: clock.Millis | None = None
-    refused_ms: clock.Millis | None = None
-
-
-@attrs.define
-class _Model:
-    """Measurements of one model's targets."""
-
-    ejector: routing.Ejector
-    first_tokens: coldstart.FirstTokenMonitor = attrs.field(
-        factory=coldstart.FirstTokenMonitor
-    )
-    service_ms: float = routing.CostParameters().service_ms
-    first_token_ms: float = 0.0
-
-
 class TargetPool:
     """Decides which target gets a request; holds no queue."""
 
@@ -63,9 +41,10 @@
         self._zone = zone
         self._rng = rng
         self._control = control
+        self._applied = False
         self._view = interfaces.TargetsView()
-        self._targets: dict[str, _Target] = {}
-        self._models: dict[str, _Model] = {}
+        self._targets: dict[str, _records.Target] = {}
+        self._models: dict[str, _records.Model] = {}
         settings = control.configuration
         self._slots = coldstart.SlotTable(
             node,
@@ -78,12 +57,30 @@
         self, control: interfaces.ControlView, now_ms: clock.Millis
     ) -> None:
         """Take a control view; also called unchanged, as a heartbeat."""
+        if control is self._control and self._applied:
+            self._slots.heartbeat(now_ms)
+            return
+        if control.configuration != self._control.configuration:
+            self._configure(control.configuration)
+        self._applied = True
         self._control = control
         self._slots.update(control.nodes, control.groups, now_ms)
         for target_id in set(self._targets) - set(control.groups):
             if not self._targets[target_id].tracker.in_flight:
                 del self._targets[target_id]
 
+    def _configure(self, settings: config.Configuration) -> None:
+        """Apply a changed configuration to what was made under the old."""
+        self._slots.configure(
+            settings.engines.default_bearable,
+            settings.limits.request_timeout_ms,
+        )
+        for model in self._models.values():
+            model.ejector.configure(
+                settings.routing.ejection_ratio,
+                settings.routing.max_ejected_fraction,
+            )
+
     def apply_targets(
         self,
         view: interfaces.TargetsView,
@@ -140,9 +137,14 @@
         """Return whether any target of a model could take work if idle."""
         return any(
             group.model == model and self._permitted(group, now_ms)
-            for group in self._control.groups.values()
+            for group in self._watched_groups()
         )
 
+    def _watched_groups(self) -> list[routing.GroupView]:
+        """Return the groups with a report, in a fixed order."""
+        groups = self._control.groups
+        return [groups[name] for name in self._view.reports if name in groups]
+
     def choose(
         self, request: interfaces.RouteRequest, now_ms: clock.Millis
     ) -> Choice | None:
@@ -153,7 +155,7 @@
         mean = self._mean_load(base)
         warm: list[str] = []
         cold: list[str] = []
-        for group in self._control.groups.values():
+        for group in self._watched_groups():
             if group.model != base or group.group_id in request.excluded:
                 continue
             if not self.may_send(group.group_id, request.model, now_ms):
@@ -180,10 +182,9 @@
         """Choose among free targets; a straggler only as the last resort."""
         settings = self._control.configuration.routing
         watched = [
-            name
-            for name in self._view.subset
-            if name in self._control.groups
-            and self._control.groups[name].model == base
+            group.group_id
+            for group in self._watched_groups()
+            if group.model == base and group.group_id in self._view.subset
         ]
         ejected = self._model(base).ejector.ejected(watched, now_ms)
         names = [name for name in warm if name not in ejected] or warm
@@ -305,11 +306,10 @@
 
     def _mean_load(self, base: str) -> float:
         """Return the mean reported load of a model's subset."""
-        groups = self._control.groups
         loads = [
-            report.load
-            for name, report in self._view.reports.items()
-            if name in groups and groups[name].model == base
+            self._view.reports[group.group_id].load
+            for group in self._watched_groups()
+            if group.model == base
         ]
         return sum(loads) / len(loads) if loads else 0.0
 
@@ -392,13 +392,13 @@
         target = self._targets.get(target_id)
         return len(target.tracker.in_flight) if target else 0
 
-    def _target(self, target_id: str) -> _Target:
-        return self._targets.setdefault(target_id, _Target())
+    def _target(self, target_id: str) -> _records.Target:
+        return self._targets.setdefault(target_id, _records.Target())
 
-    def _model(self, base: str) -> _Model:
+    def _model(self, base: str) -> _records.Model:
         if base not in self._models:
             settings: config.Routing = self._control.configuration.routing
-            self._models[base] = _Model(
+            self._models[base] = _records.Model(
                 routing.Ejector(
                     settings.ejection_ratio, settings.max_ejected_fraction
                 )
--- /dev/null
+++ b/packages/node/src/quetzalward_node/dispatch/_records.py
@@ -0,0 +1,30 @@
+"""What a node learns of targets and models by its own requests."""
+
+import attrs
+
+from quetzalward_core import clock
+from quetzalward_core import coldstart
+from quetzalward_core import routing
+
+
+@attrs.define
+class Target:
+    """This node's own knowledge of one target."""
+
+    tracker: routing.LoadTracker = attrs.field(factory=routing.LoadTracker)
+    prefixes: routing.PrefixIndex = attrs.field(factory=routing.PrefixIndex)
+    was_cold: bool = False
+    warm_since_ms: clock.Millis | None = None
+    refused_ms: clock.Millis | None = None
+
+
+@attrs.define
+class Model:
+    """Measurements of one model's targets."""
+
+    ejector: routing.Ejector
+    first_tokens: coldstart.FirstTokenMonitor = attrs.field(
+        factory=coldstart.FirstTokenMonitor
+    )
+    service_ms: float = routing.CostParameters().service_ms
+    first_token_ms: float = 0.0
--- a/packages/node/src/quetzalward_node/dispatch/_services.py
+++ b/packages/node/src/quetzalward_node/dispatch/_services.py
@@ -15,6 +15,8 @@
 # Delay that one call in progress adds for the next, against the zone penalty.
 _CALL_MS = 5.0
 _CHOICES = 3
+# Time a request thread has to send a call after its grant.
+GRANT_LIFETIME_MS = 1_000
 
 
 @attrs.define
@@ -87,7 +89,7 @@
                 return over
         penalty_ms = control.configuration.routing.zone_penalty_ms
         target = self._pick(call.service, usable, penalty_ms, now_ms)
-        return self._open_grant(call, target, place)
+        return self._open_grant(call, target, place, now_ms)
 
     def _pick(
         self,
@@ -114,6 +116,7 @@
         call: interfaces.ServiceCall,
         target: config.ServiceTarget,
         place: str,
+        now_ms: clock.Millis,
     ) -> interfaces.Grant:
         grant = interfaces.Grant(
             self._next_grant,
@@ -122,6 +125,7 @@
             target.url,
             target.zone,
             1 + len(call.excluded),
+            now_ms + GRANT_LIFETIME_MS,
         )
         self._next_grant += 1
         self._open[grant.grant_id] = (call.service, target.url, place)
--- a/packages/node/src/quetzalward_node/dispatch/_state.py
+++ b/packages/node/src/quetzalward_node/dispatch/_state.py
@@ -96,6 +96,8 @@
         """Apply the newest control view."""
         self.control = self._source.view()
         self.pool.apply_control(self.control, now_ms)
+        percent = self.control.configuration.limits.retry_budget_percent
+        self._budget.configure(percent)
 
     def submit(
         self,
--- a/packages/node/src/quetzalward_node/dispatch/_task.py
+++ b/packages/node/src/quetzalward_node/dispatch/_task.py
@@ -172,6 +172,8 @@
             self._handle(message)
         except Exception as error:
             _LOG.exception("dispatch message failed")
+            if isinstance(message, _messages.Acquire):
+                self._free_place(message)
             reply = getattr(message, "reply", None)
             if reply is not None:
                 reply.offer(
@@ -244,6 +246,13 @@
             return
         if isinstance(outcome, interfaces.Grant):
             self._state.release(outcome, _CANCELLED, self._clock.now_ms())
+        self._free_place(waiting)
+
+    def _free_place(self, waiting: _messages.Acquire) -> None:
+        """Free the place of a request that did not start.
+
+        A later attempt's place belongs to its request thread.
+        """
         if waiting.request.attempt == 1:
             self._state.finish(waiting.request.request_id)
 
--- a/packages/node/src/quetzalward_node/targets/_watch.py
+++ b/packages/node/src/quetzalward_node/targets/_watch.py
@@ -35,11 +35,15 @@
         self, control: interfaces.ControlView, now_ms: clock.Millis
     ) -> Watched:
         """Return what to watch under a control view."""
+        settings = control.configuration
         if self._slots is None:
-            engines = control.configuration.engines
             self._slots = coldstart.SlotTable(
-                self._node, engines.default_bearable
+                self._node, settings.engines.default_bearable
             )
+        self._slots.configure(
+            settings.engines.default_bearable,
+            settings.limits.request_timeout_ms,
+        )
         self._slots.update(control.nodes, control.groups, now_ms)
         chosen: set[str] = set()
         for groups in _by_model(control).values():
--- a/packages/node/tests/test_dispatch_state.py
+++ b/packages/node/tests/test_dispatch_state.py
@@ -9,6 +9,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+import fakes
 from quetzalward_core import config
 from quetzalward_core import errors
 from quetzalward_core import routing
@@ -16,63 +17,10 @@
 from quetzalward_node.dispatch import _state
 from quetzalward_node import interfaces
 
-ZONES = ("z1", "z2", "z3")
+ZONES = fakes.ZONES
 OK = interfaces.AttemptReport(interfaces.AttemptResult.OK, 10, 200.0, 30.0)
 
 
-def make_control(
-    groups: typing.Iterable[routing.GroupView], **fields: typing.Any
-) -> interfaces.ControlView:
-    defaults: dict[str, typing.Any] = {
-        "position": 1,
-        "configuration": config.Configuration(
-            zones={zone: config.Zone("r1") for zone in ZONES},
-            models={"m": config.Model(2, 3, adapters=("m-tuned",))},
-            customers={
-                "small": config.Customer(()),
-                "large": config.Customer((), weight=2.0, priority=1),
-            },
-        ),
-        "zones_out": frozenset(),
-        "nodes": {"n1": "z1"},
-        "isolated": False,
-        "ownership_current": True,
-    }
-    return interfaces.ControlView(
-        groups={group.group_id: group for group in groups},
-        **(defaults | fields),
-    )
-
-
-class Control:
-    """A control source that a test sets; counts its reads."""
-
-    def __init__(self, view: interfaces.ControlView) -> None:
-        self.current = view
-        self.later: list[interfaces.ControlView] = []
-
-    def view(self) -> interfaces.ControlView:
-        if self.later:
-            self.current = self.later.pop(0)
-        return self.current
-
-    def set(self, **fields: typing.Any) -> None:
-        self.current = attrs.evolve(self.current, **fields)
-
-
-def make_request(number: int, **fields: typing.Any) -> interfaces.RouteRequest:
-    defaults: dict[str, typing.Any] = {
-        "customer": "small",
-        "model": "m",
-        "prompt": "hello " * 100,
-        "priority": 0,
-        "max_tokens": 100,
-        "arrived_ms": 0,
-        "deadline_ms": 1_000_000,
-    }
-    return interfaces.RouteRequest(f"r{number}", **(defaults | fields))
-
-
 class Fixture:
     """A dispatch state over three groups, one in each zone."""
 
@@ -81,7 +29,7 @@
             testing.make_group(f"g{n}", zone=zone)
             for n, zone in enumerate(ZONES)
         ]
-        self.control = Control(make_control(self.groups))
+        self.control = fakes.Control(fakes.make_control(self.groups))
         self.now_ms = 0
         self.bearable = bearable
         self.states = {
@@ -128,7 +76,7 @@
         return outcomes
 
     def submit(self, number: int, **fields: typing.Any) -> object:
-        request = make_request(number, **fields)
+        request = fakes.make_request(number, **fields)
         return self.state.submit(number, request, self.now_ms)
 
     def grants(self, count: int) -> list[interfaces.Grant]:
