Cold-start, limits and retry experiments; steadier published demand

Cause: shares lost a third of a limit because random changes of demand kept each node's claim below what the others counted; a warm target's capacity was taken for a number of cold slots. Change: experiments with baselines; demand is published in steps; slots follow cold reports only; shares are computed once per exchange.

--- a/packages/bench/src/quetzalward_bench/__main__.py
+++ b/packages/bench/src/quetzalward_bench/__main__.py
@@ -2,9 +2,15 @@
 
 import fire
 
+from quetzalward_bench import _coldstart
+from quetzalward_bench import _limits
+from quetzalward_bench import _retries
 from quetzalward_bench import _routing
 
 EXPERIMENTS = {
+    "coldstart": _coldstart.main,
+    "limits": _limits.main,
+    "retries": _retries.main,
     "routing": _routing.main,
 }
 
--- a/packages/core/src/quetzalward_core/coldstart/_slots.py
+++ b/packages/core/src/quetzalward_core/coldstart/_slots.py
@@ -172,6 +172,19 @@
         self._apply_state(target, report)
         if target.cold and (not was_cold or before is None):
             self._turn_cold(target, now_ms)
+        if report.state is routing.EngineState.COLD:
+            self._apply_slots(target, report, now_ms)
+
+    def _apply_slots(
+        self,
+        target: _Target,
+        report: routing.EngineReport,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Follow a cold target's number of slots and clear them.
+
+        A warm target's `bearable` is its capacity and makes no slots.
+        """
         bearable = self._bearable(report)
         if bearable < target.bearable:
             # Requests in slots that no longer exist still run.
--- a/packages/core/src/quetzalward_core/limits/__init__.py
+++ b/packages/core/src/quetzalward_core/limits/__init__.py
@@ -5,6 +5,7 @@
 from quetzalward_core.limits._admission import Rejection
 from quetzalward_core.limits._admission import retry_after
 from quetzalward_core.limits._bucket import TokenBucket
+from quetzalward_core.limits._meter import DemandMeter
 from quetzalward_core.limits._queue import FairQueue
 from quetzalward_core.limits._queue import flow_weight
 from quetzalward_core.limits._retry import HedgeRule
@@ -19,6 +20,7 @@
     "DEMAND_WINDOW_MS",
     "Demand",
     "DemandHistory",
+    "DemandMeter",
     "DrainRate",
     "FairQueue",
     "HedgeRule",
--- a/packages/core/src/quetzalward_core/limits/_shares.py
+++ b/packages/core/src/quetzalward_core/limits/_shares.py
@@ -38,21 +38,48 @@
     concurrency: int
 
 
+@attrs.define
+class _Seen:
+    """Demands of one node in the last window, oldest first."""
+
+    steps: collections.deque[tuple[clock.Millis, Demand]]
+    largest: Demand
+    in_use: int
+
+
 class DemandHistory:
     """Demands of one customer by node over the last window."""
 
     def __init__(self, node: str) -> None:
         """Keep the history for the node named `node`."""
         self._node = node
-        self._seen: dict[str, collections.deque[tuple[int, Demand]]] = {}
+        self._seen: dict[str, _Seen] = {}
 
     def note(self, node: str, demand: Demand, now_ms: clock.Millis) -> None:
         """Record what a node, also this one, published."""
-        history = self._seen.setdefault(node, collections.deque())
-        history.append((now_ms, demand))
+        seen = self._seen.get(node)
+        if seen is None:
+            steps = collections.deque([(now_ms, demand)])
+            self._seen[node] = _Seen(steps, demand, demand.in_use)
+            return
+        seen.in_use = demand.in_use
+        steps = seen.steps
+        last = steps[-1][1]
+        changed = (
+            last.rate_per_s != demand.rate_per_s
+            or last.concurrency != demand.concurrency
+        )
+        if changed:
+            steps.append((now_ms, demand))
         # One entry as old as the window is kept as its first value.
-        while len(history) > 1 and history[1][0] <= now_ms - DEMAND_WINDOW_MS:
-            history.popleft()
+        while len(steps) > 1 and steps[1][0] <= now_ms - DEMAND_WINDOW_MS:
+            steps.popleft()
+            changed = True
+        if changed:
+            seen.largest = Demand(
+                max(one.rate_per_s for _, one in steps),
+                max(one.concurrency for _, one in steps),
+            )
 
     def share(
         self,
@@ -65,43 +92,30 @@
 
         `nodes` are the live nodes of the fold.
         """
-        others = [name for name in nodes if name != self._node]
+        rates = places = 0.0
+        in_use = 0
+        for name in nodes:
+            seen = self._seen.get(name)
+            if seen is not None and name != self._node:
+                rates += seen.largest.rate_per_s
+                places += seen.largest.concurrency
+                in_use += seen.in_use
         own = self._claim(now_ms)
-        seen = [self._largest(name) for name in others]
-        count = len(others) + 1
-        rate = divide(
-            rate_per_s, own.rate_per_s, sum(d.rate_per_s for d in seen), count
-        )
-        places = divide(
-            max_concurrency,
-            own.concurrency,
-            sum(d.concurrency for d in seen),
-            count,
-        )
-        free = sum(d.in_use for d in seen) < max_concurrency
+        count = len(nodes) + (self._node not in nodes)
+        rate = divide(rate_per_s, own.rate_per_s, rates, count)
+        share = divide(max_concurrency, own.concurrency, places, count)
         # Without the one, a limit below the number of nodes admits nobody.
-        least = 1 if free else 0
-        return Share(rate, max(least, math.floor(places + 1e-9)))
+        least = 1 if in_use < max_concurrency else 0
+        return Share(rate, max(least, math.floor(share + 1e-9)))
 
     def _claim(self, now_ms: clock.Millis) -> Demand:
         """Return the demand that every other node has heard of by now."""
-        history = self._seen.get(self._node)
-        if not history or history[0][0] > now_ms - DEMAND_WINDOW_MS:
-            return Demand()
-        return Demand(
-            min(demand.rate_per_s for _, demand in history),
-            min(demand.concurrency for _, demand in history),
-        )
-
-    def _largest(self, node: str) -> Demand:
-        """Return the largest demand that a node may claim now."""
-        history = self._seen.get(node)
-        if not history:
+        seen = self._seen.get(self._node)
+        if seen is None or seen.steps[0][0] > now_ms - DEMAND_WINDOW_MS:
             return Demand()
         return Demand(
-            max(demand.rate_per_s for _, demand in history),
-            max(demand.concurrency for _, demand in history),
-            history[-1][1].in_use,
+            min(one.rate_per_s for _, one in seen.steps),
+            min(one.concurrency for _, one in seen.steps),
         )
 
 
--- a/packages/node/src/quetzalward_node/dispatch/_customers.py
+++ b/packages/node/src/quetzalward_node/dispatch/_customers.py
@@ -11,7 +11,9 @@
 from quetzalward_node import interfaces
 
 PUBLISH_INTERVAL_MS = 1_000
-_SMOOTHING = 0.5
+# Reading many nodes' demands costs time; at 380 nodes this makes it every
+# 1.9 s, well within the demand window of 5 s.
+PUBLISH_MS_PER_NODE = 5
 _CONCURRENCY_RETRY_MS = 1_000
 
 
@@ -25,7 +27,11 @@
     arrivals: int = 0
     refused: int = 0
     peak: int = 0
-    rate_per_s: float = 0.0
+    rate: limits.DemandMeter = attrs.field(factory=limits.DemandMeter)
+    places: limits.DemandMeter = attrs.field(factory=limits.DemandMeter)
+    # Share under a control view; demands change only with an exchange.
+    share: limits.Share | None = None
+    share_view: interfaces.ControlView | None = None
 
 
 class CustomerLimits:
@@ -48,13 +54,7 @@
         """Count a request in, or return why it is over a limit."""
         known = self._customer(customer, now_ms)
         known.arrivals += 1
-        settings = settings_of(customer, control.configuration)
-        share = known.history.share(
-            settings.rate_per_s,
-            settings.max_concurrency,
-            control.nodes,
-            now_ms,
-        )
+        share = self._share(customer, known, control, now_ms)
         if len(known.active) >= share.concurrency:
             known.refused += 1
             return errors.QuetzalwardError(
@@ -75,6 +75,25 @@
         self._owners[request_id] = customer
         return None
 
+    def _share(
+        self,
+        customer: str,
+        known: _Customer,
+        control: interfaces.ControlView,
+        now_ms: clock.Millis,
+    ) -> limits.Share:
+        """Return the node's share, computed once per exchange and view."""
+        if known.share is None or known.share_view is not control:
+            settings = settings_of(customer, control.configuration)
+            known.share_view = control
+            known.share = known.history.share(
+                settings.rate_per_s,
+                settings.max_concurrency,
+                control.nodes,
+                now_ms,
+            )
+        return known.share
+
     def finish(self, request_id: str) -> bool:
         """Return a request's place; false if it had none."""
         customer = self._owners.pop(request_id, None)
@@ -93,7 +112,9 @@
     ) -> None:
         """Publish own demand and read the others', once per interval."""
         elapsed_ms = now_ms - self._published_ms
-        if elapsed_ms < PUBLISH_INTERVAL_MS:
+        others = exchange.others()
+        paced_ms = (len(others) + 1) * PUBLISH_MS_PER_NODE
+        if elapsed_ms < max(PUBLISH_INTERVAL_MS, paced_ms):
             return
         self._published_ms = now_ms
         own = {
@@ -102,9 +123,11 @@
         }
         exchange.publish(own)
         self._note(self._node, own, now_ms)
-        for node, demands in exchange.others().items():
+        for node, demands in others.items():
             if node != self._node:
                 self._note(node, demands, now_ms)
+        for known in self._customers.values():
+            known.share = None
 
     def _note(
         self,
@@ -122,10 +145,9 @@
     def _measure(self, known: _Customer, elapsed_ms: int) -> limits.Demand:
         """Return the demand of the last interval and start a new one."""
         rate = known.arrivals * clock.MILLIS_PER_SECOND / elapsed_ms
-        known.rate_per_s += _SMOOTHING * (rate - known.rate_per_s)
         demand = limits.Demand(
-            known.rate_per_s,
-            float(known.peak + known.refused),
+            known.rate.measure(rate),
+            known.places.measure(float(known.peak + known.refused)),
             len(known.active),
         )
         known.arrivals = 0
--- /dev/null
+++ b/packages/node/tests/test_pool.py
@@ -0,0 +1,126 @@
+"""Tests of the choice of a target on one node."""
+
+import random
+import unittest
+
+import fakes
+from quetzalward_core import routing
+from quetzalward_core import testing
+from quetzalward_node.dispatch import _pool
+from quetzalward_node import interfaces
+
+COUNT = 12
+
+
+class PoolTest(unittest.TestCase):
+    """Guards the use of caches, speeds, subsets and model names."""
+
+    def setUp(self) -> None:
+        self.groups = [testing.make_group(f"g{n}") for n in range(COUNT)]
+        self.names = [group.group_id for group in self.groups]
+        self.pool = _pool.TargetPool(
+            "n1",
+            "z1",
+            fakes.make_control(self.groups),
+            random.Random(1),
+            0,
+        )
+        self.publish()
+
+    def publish(
+        self,
+        subset: list[str] | None = None,
+        events: tuple[interfaces.CacheEvent, ...] = (),
+        as_of_ms: int = 0,
+        **by_target: dict[str, object],
+    ) -> None:
+        reports = {
+            group.group_id: testing.make_report(
+                group, as_of_ms, **by_target.get(group.group_id, {})
+            )
+            for group in self.groups
+        }
+        view = interfaces.TargetsView(
+            frozenset(self.names if subset is None else subset),
+            reports,
+            {name: f"http://{name}" for name in self.names},
+            None,
+        )
+        self.pool.apply_targets(view, events, as_of_ms)
+
+    def chosen(self, now_ms: int = 0, **fields: object) -> set[str]:
+        found = set()
+        for number in range(60):
+            request = fakes.make_request(number, **fields)
+            choice = self.pool.choose(request, now_ms)
+            if choice is not None:
+                found.add(choice.target_id)
+        return found
+
+    def test_cached_prefix_attracts_until_it_is_evicted(self) -> None:
+        prompt = "a long shared prompt " * 200
+        ids = routing.prefix_ids(prompt)
+        self.pool.sent(1, "g5", "", 0)
+        added = tuple(interfaces.CacheEvent("g5", one, True) for one in ids)
+        self.publish(events=added, as_of_ms=1)
+        self.assertEqual(self.chosen(1, prompt=prompt), {"g5"})
+        gone = tuple(interfaces.CacheEvent("g5", one, False) for one in ids)
+        self.publish(events=gone, as_of_ms=2)
+        self.assertNotEqual(self.chosen(2, prompt=prompt), {"g5"})
+
+    def test_cold_target_loses_its_cache(self) -> None:
+        prompt = "a long shared prompt " * 200
+        self.pool.sent(1, "g5", prompt, 0)
+        cold = {"state": routing.EngineState.COLD}
+        self.publish(as_of_ms=1, g5=cold)
+        self.publish(as_of_ms=2)
+        self.assertNotEqual(self.chosen(2, prompt=prompt), {"g5"})
+
+    def test_straggler_is_left_out(self) -> None:
+        usual = {"running": 1}
+        slow = {"running": 1, "token_ms": 90.0}
+        by_target = dict.fromkeys(self.names, usual) | {"g3": slow}
+        self.publish(as_of_ms=1, **by_target)  # type: ignore[arg-type]
+        self.assertNotIn("g3", self.chosen(1))
+
+    def test_straggler_serves_if_nothing_else_can(self) -> None:
+        usual = {"running": 16}
+        slow = {"running": 1, "token_ms": 90.0}
+        by_target = dict.fromkeys(self.names, usual) | {"g3": slow}
+        self.publish(as_of_ms=1, **by_target)  # type: ignore[arg-type]
+        self.assertEqual(self.chosen(1), {"g3"})
+
+    def test_warm_targets_outside_the_subset_get_nothing(self) -> None:
+        self.publish(subset=["g1", "g2"], as_of_ms=1)
+        self.assertEqual(self.chosen(1), {"g1", "g2"})
+
+    def test_adapter_goes_where_it_is_loaded(self) -> None:
+        loaded = {"models": frozenset({"m", "m-tuned"})}
+        self.publish(as_of_ms=1, g7=loaded)
+        self.assertEqual(self.chosen(1, model="m-tuned"), {"g7"})
+
+    def test_engine_without_capacity_is_full_by_its_queue(self) -> None:
+        unknown = {"bearable": None}
+        waiting = {"bearable": None, "waiting": 4, "running": 9}
+        by_target = dict.fromkeys(self.names, waiting) | {"g2": unknown}
+        self.publish(as_of_ms=1, **by_target)  # type: ignore[arg-type]
+        self.assertEqual(self.chosen(1), {"g2"})
+
+    def test_late_first_token_stops_work_until_the_next_report(self) -> None:
+        for number in range(20):
+            self.pool.sent(number, "g1", "", 0)
+            self.finish(number, "g1", 100.0)
+        self.pool.sent(99, "g2", "", 0)
+        self.publish(as_of_ms=5_000)
+        self.assertTrue(self.pool.may_send("g2", "m", 5_001))
+        self.finish(99, "g2", 5_000.0)
+        self.assertFalse(self.pool.may_send("g2", "m", 5_001))
+        self.assertTrue(self.pool.may_send("g1", "m", 5_001))
+        self.publish(as_of_ms=5_002)
+        self.assertTrue(self.pool.may_send("g2", "m", 5_002))
+
+    def finish(self, grant: int, name: str, first_ms: float) -> None:
+        report = interfaces.AttemptReport(
+            interfaces.AttemptResult.OK, 5, first_ms, 30.0
+        )
+        self.pool.ended(grant, name, "m", 0, report, 5_001)
