--- a/packages/bench/src/quetzalward_bench/fold.py
+++ b/packages/bench/src/quetzalward_bench/fold.py
@@ -230,11 +230,10 @@
     _show("control: record and view", seconds / count * 1e6, "us")
 
 
-def main(arguments: list[str]) -> int:
+def main() -> None:
     """Measure both kinds of stream."""
     control = measure("control", control_stream(), agreement.ControlState)
     _measure_view(control)
     measure("calls", call_stream(), agreement.CallState)
     used = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     _show("peak memory of this process", used / 1024, "MiB")
-    return 0
--- a/packages/core/src/quetzalward_core/coldstart/_slots.py
+++ b/packages/core/src/quetzalward_core/coldstart/_slots.py
@@ -86,13 +86,10 @@
     ) -> None:
         """Apply the nodes and targets of the fold, as seen at `now_ms`.
 
-        Must be called at least every `MAX_UPDATE_GAP_MS`.
+        This or `heartbeat` must be called every `MAX_UPDATE_GAP_MS`.
         """
-        last_ms = self._updated_ms
-        self._updated_ms = now_ms
-        paused = last_ms is None or now_ms - last_ms > MAX_UPDATE_GAP_MS
         found = frozenset(nodes)
-        if paused:
+        if self._paused(now_ms):
             self._restart(found, now_ms)
         elif found != self._nodes:
             self._move(found, now_ms)
@@ -103,6 +100,28 @@
             self._targets[target_id] = added
             self._extend(target_id, added, self._default_bearable, now_ms)
 
+    def configure(
+        self, default_bearable: int, request_timeout_ms: int
+    ) -> None:
+        """Apply changed settings from the next report on.
+
+        A shorter timeout does not end the requests sent under a longer one,
+        so the longest one stays in use.
+        """
+        self._default_bearable = default_bearable
+        self._timeout_ms = max(self._timeout_ms, request_timeout_ms)
+
+    def heartbeat(self, now_ms: clock.Millis) -> None:
+        """Note that the fold's nodes and targets are still the same."""
+        if self._paused(now_ms):
+            self._restart(self._nodes, now_ms)
+
+    def _paused(self, now_ms: clock.Millis) -> bool:
+        """Note the time; return whether slots may have moved unseen."""
+        last_ms = self._updated_ms
+        self._updated_ms = now_ms
+        return last_ms is None or now_ms - last_ms > MAX_UPDATE_GAP_MS
+
     def owned_targets(self) -> frozenset[str]:
         """Return the targets of which this node owns a default slot."""
         return frozenset(
@@ -153,6 +172,19 @@
         self._apply_state(target, report)
         if target.cold and (not was_cold or before is None):
             self._turn_cold(target, now_ms)
+        if report.state is routing.EngineState.COLD:
+            self._apply_slots(target, report, now_ms)
+
+    def _apply_slots(
+        self,
+        target: _Target,
+        report: routing.EngineReport,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Follow a cold target's number of slots and clear them.
+
+        A warm target's `bearable` is its capacity and makes no slots.
+        """
         bearable = self._bearable(report)
         if bearable < target.bearable:
             # Requests in slots that no longer exist still run.
--- a/packages/core/src/quetzalward_core/routing/_ejection.py
+++ b/packages/core/src/quetzalward_core/routing/_ejection.py
@@ -39,6 +39,11 @@
         self._max_fraction = max_fraction
         self._evidence: dict[str, _Evidence] = {}
 
+    def configure(self, ratio: float, max_fraction: float) -> None:
+        """Apply changed settings to the next decision."""
+        self._ratio = ratio
+        self._max_fraction = max_fraction
+
     def observe(self, target_id: str, token_ms: float) -> None:
         """Note a measured or reported inter-token latency."""
         evidence = self._evidence.setdefault(target_id, _Evidence())
@@ -60,6 +65,11 @@
         for target_id in set(self._evidence) - set(targets):
             del self._evidence[target_id]
 
+    def returned_ms(self, target_id: str) -> clock.Millis | None:
+        """Return when the target's last ejection ended, if one did."""
+        evidence = self._evidence.get(target_id)
+        return evidence.ended_ms if evidence else None
+
     def ejected(
         self, targets: typing.Collection[str], now_ms: clock.Millis
     ) -> frozenset[str]:
