--- a/packages/node/src/quetzalward_node/interfaces.py
+++ b/packages/node/src/quetzalward_node/interfaces.py
@@ -13,6 +13,7 @@
 
 from quetzalward_core import agreement
 from quetzalward_core import clock
+from quetzalward_core import membership
 
 
 @attrs.frozen
@@ -237,3 +238,27 @@
         `False` means that it has not run so far, which does not prove that
         it never will; `None` that there is no status call or no answer.
         """
+
+
+class PeerKnowledge(typing.Protocol):
+    """What the exchange with other nodes tells this node."""
+
+    def isolated(self) -> bool:
+        """Tell whether this node must refuse new work."""
+
+    def zone_stopped(self, zone: str) -> bool:
+        """Tell whether a zone is out, by the log or by a direct order."""
+
+    def target_stopped(self, target: str) -> bool:
+        """Tell whether a target drains, by the log or by a direct order."""
+
+    def revision_by_node(self) -> dict[str, int]:
+        """Return the configuration in force at each node that said so."""
+
+    def demand_by_node(self, customer: str) -> dict[str, membership.Demand]:
+        """Return one customer's demand at every node that reported any."""
+
+    def add_stop(
+        self, kind: membership.StopKind, name: str, basis: int
+    ) -> bool:
+        """Take a stop order from an operator; true if it is in force."""
--- /dev/null
+++ b/packages/node/src/quetzalward_node/peers/__init__.py
@@ -0,0 +1,5 @@
+"""The peers task: exchange of digests and calls between nodes."""
+
+from quetzalward_node.peers._task import PeersTask
+
+__all__ = ["PeersTask"]
--- /dev/null
+++ b/packages/node/src/quetzalward_node/peers/_codec.py
@@ -0,0 +1,82 @@
+"""Digests and stop orders as protobuf messages."""
+
+import attrs
+
+from quetzalward_core import membership
+from quetzalward_wire import peer_pb2
+
+_NUMBER_BY_KIND = {
+    membership.StopKind.ZONE: peer_pb2.STOP_KIND_ZONE,
+    membership.StopKind.TARGET: peer_pb2.STOP_KIND_TARGET,
+}
+_KIND_BY_NUMBER = {number: kind for kind, number in _NUMBER_BY_KIND.items()}
+MAX_NAME_CHARS = 256
+MAX_FACTS = 256
+
+
+@attrs.frozen
+class NumberedDigest:
+    """A digest, and its number among those of one start of its sender."""
+
+    digest: membership.Digest
+    generation: int
+    sequence: int
+
+
+def encode_digest(numbered: NumberedDigest) -> bytes:
+    """Return the encoded message."""
+    digest = numbered.digest
+    message = peer_pb2.Digest(
+        sender=digest.sender,
+        generation=numbered.generation,
+        sequence=numbered.sequence,
+        ages=digest.ages,
+    )
+    for node, fact in digest.facts_by_node.items():
+        message.facts.add(
+            node=node,
+            generation=fact.generation,
+            version=fact.version,
+            revision=fact.revision,
+            demand=fact.demand,
+        )
+    for key, basis in digest.basis_by_stop.items():
+        message.stops.add(
+            kind=_NUMBER_BY_KIND[key.kind], name=key.name, basis=basis
+        )
+    return bytes(message.SerializeToString())
+
+
+def decode_digest(body: bytes) -> NumberedDigest:
+    """Return the digest; raises `google.protobuf.message.DecodeError`."""
+    message = peer_pb2.Digest.FromString(body)
+    facts = {
+        fact.node: membership.Fact(
+            fact.generation, fact.version, fact.revision, fact.demand
+        )
+        for fact in message.facts[:MAX_FACTS]
+        if len(fact.node) <= MAX_NAME_CHARS
+    }
+    stops = {}
+    for stop in message.stops[: membership.MAX_STOPS]:
+        key = decode_stop(stop)
+        if key is not None:
+            stops[key] = stop.basis
+    digest = membership.Digest(message.sender, message.ages, facts, stops)
+    return NumberedDigest(digest, message.generation, message.sequence)
+
+
+def decode_stop(stop: peer_pb2.Stop) -> membership.StopKey | None:
+    """Return what a stop order is about; `None` for an unknown kind."""
+    kind = _KIND_BY_NUMBER.get(stop.kind)
+    if kind is None or not 0 < len(stop.name) <= MAX_NAME_CHARS:
+        return None
+    return membership.StopKey(kind, stop.name)
+
+
+def encode_stop(key: membership.StopKey, basis: int) -> bytes:
+    """Return the encoded stop order."""
+    message = peer_pb2.Stop(
+        kind=_NUMBER_BY_KIND[key.kind], name=key.name, basis=basis
+    )
+    return bytes(message.SerializeToString())
