--- /dev/null
+++ b/packages/bench/src/quetzalward_bench/_rounds.py
@@ -0,0 +1,198 @@
+"""Replay of digest exchanges in one process, with time that does not pass.
+
+Every node exchanges with two peers a second at its own phase. Messages arrive
+at once, so that ages show the spread alone.
+"""
+
+import random
+import typing
+
+import attrs
+
+from quetzalward_core import membership
+from quetzalward_node.peers import _codec
+from quetzalward_node.peers import _knowledge
+
+_ROUND_MS = 1_000
+_CUSTOMERS = 10
+WARM_UP_S = 15
+# Long enough for the slowest spread that was seen.
+MAX_SPREAD_S = 60
+
+
+@attrs.frozen
+class Outcome:
+    """Measurements of one replay."""
+
+    nodes: int
+    # Encoded digests sent and received, per node.
+    payload_bytes_per_s: float
+    # Rounds until a change of one node is known to half, and to all nodes.
+    half_rounds: float
+    all_rounds: float
+    # Share of the nodes that a node heard within the last 5 s.
+    least_heard: float
+    median_heard: float
+    # Age of the demand that a node knows of the others, at the median.
+    demand_age_s: float
+
+
+class Replay:
+    """All nodes of a fleet and the exchanges between them."""
+
+    def __init__(self, count: int, seed: int, push_ms: int | None) -> None:
+        """Count ages of requests `push_ms` older; `None` ignores them."""
+        self._rng = random.Random(seed)
+        self._push_ms = push_ms
+        members = {
+            f"node-{index:03d}": membership.Member(10**9 + index, "r")
+            for index in range(count)
+        }
+        self.nodes = {name: membership.Membership(name) for name in members}
+        self._phase_ms = {}
+        for name, node in self.nodes.items():
+            node.set_members(members)
+            self._phase_ms[name] = self._rng.randrange(_ROUND_MS)
+        self._active: dict[str, list[str]] = {name: [] for name in members}
+        self.payload_bytes = 0
+        # When each version of each node's fact was first said.
+        self.said_ms: dict[tuple[str, int], int] = {}
+
+    def second(self, second: int) -> None:
+        """Let every node do one round."""
+        for name in sorted(self.nodes, key=self._phase_ms.__getitem__):
+            now_ms = second * _ROUND_MS + self._phase_ms[name]
+            self._round(name, now_ms, second)
+
+    def _round(self, name: str, now_ms: int, second: int) -> None:
+        node = self.nodes[name]
+        self._change_demand(node)
+        fact = node.knowledge().facts_by_node[name]
+        self.said_ms.setdefault((name, fact.version), now_ms)
+        for peer_name in self._peers(name, now_ms, second):
+            peer = self.nodes[peer_name]
+            request = node.digest(now_ms)
+            if self._push_ms is None:
+                peer.receive_facts(request)
+            else:
+                peer.receive(request, now_ms - self._push_ms)
+            answer = peer.digest(now_ms)
+            node.receive(answer, now_ms)
+            self._count(request)
+            self._count(answer)
+
+    def _change_demand(self, node: membership.Membership) -> None:
+        """Let demand vary by some 30% each second, which is much."""
+        demand = {
+            f"customer-{index}": membership.Demand(
+                self._rng.lognormvariate(0, 0.3),
+                4 * self._rng.lognormvariate(0, 0.3),
+            )
+            for index in range(_CUSTOMERS)
+        }
+        node.set_own(10**9, demand)
+
+    def _peers(self, name: str, now_ms: int, second: int) -> list[str]:
+        """Return two of the active peers, as the peers task does."""
+        active = self._active[name]
+        if second % _knowledge.REPLACE_ROUNDS == 0 and active:
+            active.pop(0)
+        wanted = _knowledge.ACTIVE_PEERS - len(active)
+        if wanted > 0:
+            found = self.nodes[name].choose_peers(
+                _knowledge.ACTIVE_PEERS, now_ms, self._rng
+            )
+            active += [peer for peer in found if peer not in active][:wanted]
+        count = min(_knowledge.EXCHANGES_PER_ROUND, len(active))
+        return self._rng.sample(active, count)
+
+    def _count(self, digest: membership.Digest) -> None:
+        encoded = _codec.encode_digest(
+            _codec.NumberedDigest(digest, 10**9, 1000)
+        )
+        self.payload_bytes += len(encoded)
+
+    def heard_shares(self, now_ms: int) -> list[float]:
+        """Return for each node the share of nodes heard lately."""
+        shares = []
+        for name, node in self.nodes.items():
+            counted, total = membership.heard_lately(
+                name,
+                node.members,
+                node.knowledge().heard_ms_by_node,
+                now_ms,
+            )
+            shares.append(counted / total)
+        return shares
+
+    def demand_ages_s(self, now_ms: int) -> list[float]:
+        """Return the age of each fact that each of some nodes knows."""
+        ages = []
+        for node in list(self.nodes.values())[:20]:
+            for name, fact in node.knowledge().facts_by_node.items():
+                said_ms = self.said_ms[(name, fact.version)]
+                ages.append(max(0, now_ms - said_ms) / _ROUND_MS)
+        return ages
+
+
+def _median(values: typing.Sequence[float]) -> float:
+    ordered = sorted(values)
+    return ordered[len(ordered) // 2]
+
+
+def run(count: int, seed: int, push_ms: int | None) -> Outcome:
+    """Replay a fleet of `count` nodes and return what was seen."""
+    replay = Replay(count, seed, push_ms)
+    for second in range(WARM_UP_S):
+        replay.second(second)
+    start = WARM_UP_S
+    replay.payload_bytes = 0
+    # The change to follow: one node has a new configuration in force.
+    source = replay.nodes["node-000"]
+    source.set_own(10**9 + 1, {})
+    heard: list[float] = []
+    known: list[int] = []
+    for second in range(start, start + MAX_SPREAD_S):
+        replay.second(second)
+        heard += replay.heard_shares((second + 1) * _ROUND_MS)
+        known.append(_knowing(replay))
+    now_ms = (start + MAX_SPREAD_S) * _ROUND_MS
+    return Outcome(
+        count,
+        # Each message is sent by one node and received by another.
+        2 * replay.payload_bytes / count / MAX_SPREAD_S,
+        _first(known, count / 2),
+        _first(known, count),
+        min(heard),
+        _median(heard),
+        _median(replay.demand_ages_s(now_ms)),
+    )
+
+
+def _knowing(replay: Replay) -> int:
+    """Return how many nodes know that the source has changed."""
+    revised = 0
+    for node in replay.nodes.values():
+        facts = node.knowledge().facts_by_node
+        source = facts.get("node-000")
+        # The source's version after the warm-up tells, whatever follows.
+        revised += source is not None and source.version > replay_mark(replay)
+    return revised
+
+
+def replay_mark(replay: Replay) -> int:
+    """Return the source's last version before the change."""
+    versions = [
+        version
+        for (name, version), said_ms in replay.said_ms.items()
+        if name == "node-000" and said_ms < WARM_UP_S * _ROUND_MS
+    ]
+    return max(versions)
+
+
+def _first(known: typing.Sequence[int], wanted: float) -> float:
+    """Return the first round after which enough nodes knew the change."""
+    for index, count in enumerate(known):
+        if count >= wanted:
+            return index + 1
+    return float("inf")
--- a/packages/core/src/quetzalward_core/membership/__init__.py
+++ b/packages/core/src/quetzalward_core/membership/__init__.py
@@ -1,10 +1,10 @@
 """What a node knows of its peers without the log."""
 
+from quetzalward_core.membership._ages import AgeTable
+from quetzalward_core.membership._ages import node_key
 from quetzalward_core.membership._codes import customer_key
 from quetzalward_core.membership._codes import Demand
-from quetzalward_core.membership._codes import pack_ages
 from quetzalward_core.membership._codes import pack_demand
-from quetzalward_core.membership._codes import unpack_ages
 from quetzalward_core.membership._codes import unpack_demand
 from quetzalward_core.membership._freshness import FRESH_MS
 from quetzalward_core.membership._freshness import heard_lately
@@ -16,7 +16,6 @@
 from quetzalward_core.membership._membership import MAX_STOPS
 from quetzalward_core.membership._membership import Membership
 from quetzalward_core.membership._merge import bound_stops
-from quetzalward_core.membership._merge import heard
 from quetzalward_core.membership._merge import merge
 from quetzalward_core.membership._merge import retain
 from quetzalward_core.membership._merge import stop_in_force
@@ -28,6 +27,7 @@
 from quetzalward_core.membership._model import StopKind
 
 __all__ = [
+    "AgeTable",
     "Demand",
     "Digest",
     "FRESH_MS",
@@ -44,14 +44,12 @@
     "StopKind",
     "bound_stops",
     "customer_key",
-    "heard",
     "heard_lately",
     "is_isolated",
     "merge",
-    "pack_ages",
+    "node_key",
     "pack_demand",
     "retain",
     "stop_in_force",
-    "unpack_ages",
     "unpack_demand",
 ]
--- a/packages/core/src/quetzalward_core/membership/_codes.py
+++ b/packages/core/src/quetzalward_core/membership/_codes.py
@@ -1,4 +1,4 @@
-"""Compact forms of demand and of ages."""
+"""Compact form of demand."""
 
 import functools
 import hashlib
@@ -8,8 +8,6 @@
 
 import attrs
 
-from quetzalward_core import clock
-
 # Eight steps per octave keep the error of a decoded value below 5%.
 _STEPS_PER_OCTAVE = 8
 _SMALLEST = 1 / 64
@@ -18,10 +16,6 @@
 # each of them again would fill the digests.
 UNSAID_STEPS = 2
 _DEMAND = struct.Struct(">IBB")
-_AGE = struct.Struct(">HB")
-AGE_UNIT_MS = 100
-# Older nodes are left out; nothing asks for larger ages.
-MAX_AGE_CODE = 250
 
 
 @attrs.frozen
@@ -54,16 +48,6 @@
     return int.from_bytes(digest[:4], "big")
 
 
-@functools.lru_cache(maxsize=4096)
-def node_key(node: str) -> int:
-    """Return the 16-bit key that stands for a node among ages.
-
-    Two nodes may share one; then the larger age counts for both.
-    """
-    digest = hashlib.sha256(node.encode()).digest()
-    return int.from_bytes(digest[:2], "big")
-
-
 def pack_demand(
     demand_by_customer: typing.Mapping[str, Demand], max_bytes: int
 ) -> bytes:
@@ -102,34 +86,3 @@
         for key, codes in after.items()
         for one, other in zip(codes, before[key])
     )
-
-
-def pack_ages(
-    heard_ms_by_node: typing.Mapping[str, clock.Millis],
-    now_ms: clock.Millis,
-) -> bytes:
-    """Return three bytes per node heard lately, ages rounded up."""
-    code_by_key: dict[int, int] = {}
-    oldest_ms = now_ms - MAX_AGE_CODE * AGE_UNIT_MS
-    hidden = set()
-    for node, heard_ms in heard_ms_by_node.items():
-        key = node_key(node)
-        if heard_ms < oldest_ms:
-            hidden.add(key)
-            continue
-        code = max(0, -((heard_ms - now_ms) // AGE_UNIT_MS))
-        code_by_key[key] = max(code, code_by_key.get(key, 0))
-    return b"".join(
-        _AGE.pack(key, code)
-        for key, code in code_by_key.items()
-        if key not in hidden
-    )
-
-
-def unpack_ages(packed: bytes) -> dict[int, clock.Millis]:
-    """Return ages in milliseconds by node key."""
-    whole = len(packed) - len(packed) % _AGE.size
-    return {
-        key: code * AGE_UNIT_MS
-        for key, code in _AGE.iter_unpack(packed[:whole])
-    }
--- a/packages/core/src/quetzalward_core/membership/_membership.py
+++ b/packages/core/src/quetzalward_core/membership/_membership.py
@@ -1,12 +1,13 @@
 """One node's knowledge of its peers, kept up to date."""
 
-import heapq
+import itertools
 import random
 import typing
 
 import attrs
 
 from quetzalward_core import clock
+from quetzalward_core.membership import _ages
 from quetzalward_core.membership import _codes
 from quetzalward_core.membership import _freshness
 from quetzalward_core.membership import _merge
@@ -33,25 +34,20 @@
         self.own = own
         self.members: dict[str, _model.Member] = {}
         self._facts: dict[str, _model.Fact] = {}
-        self._heard_ms: dict[str, clock.Millis] = {}
+        self._ages = _ages.AgeTable(own)
         self._stops: dict[_model.StopKey, int] = {}
-        # How often each fact was sent, and a number that orders facts sent
-        # equally often. Facts sent least go first.
-        self._sent: dict[str, tuple[int, int]] = {}
-        self._turn = 0
-        self._nodes_by_key: dict[int, list[str]] = {}
+        # Facts not sent yet, then those sent, longest ago first.
+        self._unsent: dict[str, None] = {}
+        self._sent: dict[str, None] = {}
 
     def set_members(self, members: typing.Mapping[str, _model.Member]) -> None:
         """Take over the nodes of the fold and drop all others."""
         self.members = dict(members)
         kept = _merge.retain(self.knowledge(), self.members)
         self._facts = dict(kept.facts_by_node)
-        self._heard_ms = dict(kept.heard_ms_by_node)
-        self._sent = {node: self._sent[node] for node in self._facts}
-        self._nodes_by_key = {}
-        for node in sorted(self.members):
-            key = _codes.node_key(node)
-            self._nodes_by_key.setdefault(key, []).append(node)
+        self._ages.set_members(self.members)
+        self._unsent = {n: None for n in self._unsent if n in self._facts}
+        self._sent = {n: None for n in self._sent if n in self._facts}
 
     def set_own(
         self,
@@ -99,30 +95,27 @@
     def knowledge(self) -> _model.Knowledge:
         """Return everything that is known."""
         return _model.Knowledge(
-            dict(self._facts), dict(self._heard_ms), dict(self._stops)
+            dict(self._facts),
+            self._ages.heard_ms_by_node(),
+            dict(self._stops),
         )
 
     def digest(self, now_ms: clock.Millis) -> _model.Digest:
         """Return the next digest; its size is bounded."""
-        heard = {**self._heard_ms, self.own: now_ms}
+        keys, ages = self._ages.pack(now_ms)
         chosen = {}
         size = 0
-        ranked = heapq.nsmallest(
-            MAX_FACT_BYTES // _FACT_OVERHEAD_BYTES,
-            self._facts,
-            key=self._sent.__getitem__,
-        )
-        for node in ranked:
+        for node in itertools.chain(self._unsent, self._sent):
             fact = self._facts[node]
             size += len(node) + len(fact.demand) + _FACT_OVERHEAD_BYTES
             if size > MAX_FACT_BYTES:
                 break
             chosen[node] = fact
-            count, turn = self._sent[node]
-            self._sent[node] = (count + 1, turn)
-        return _model.Digest(
-            self.own, _codes.pack_ages(heard, now_ms), chosen, self.stops()
-        )
+        for node in chosen:
+            self._unsent.pop(node, None)
+            self._sent.pop(node, None)
+            self._sent[node] = None
+        return _model.Digest(self.own, keys, ages, chosen, self.stops())
 
     def receive(self, digest: _model.Digest, as_of_ms: clock.Millis) -> None:
         """Merge a digest.
@@ -130,14 +123,8 @@
         `as_of_ms` must not be after the moment it was written: the time a
         request was sent for its answer.
         """
-        heard = _merge.heard(
-            _codes.unpack_ages(digest.ages), self._nodes_by_key, as_of_ms
-        )
         self.receive_facts(digest)
-        for node, heard_ms in heard.items():
-            if node != self.own:
-                known = self._heard_ms.get(node, heard_ms)
-                self._heard_ms[node] = max(known, heard_ms)
+        self._ages.note(digest.age_keys, digest.ages, as_of_ms)
 
     def receive_facts(self, digest: _model.Digest) -> None:
         """Merge a digest whose age is not known, without its ages."""
@@ -153,32 +140,31 @@
             self.add_stop(key.kind, key.name, basis)
 
     def _put_fact(self, node: str, fact: _model.Fact) -> None:
-        """Keep a new fact, to be sent before those sent more often."""
+        """Keep a new fact, to be sent before those that were sent."""
         self._facts[node] = fact
-        count, _ = self._sent.get(node, (1, 0))
-        if count:
-            # An unsent fact keeps its turn, so that a fact that changes often
-            # cannot keep others from being sent.
-            self._turn += 1
-            self._sent[node] = (0, self._turn)
+        # An unsent fact keeps its turn, so that a fact that changes often
+        # cannot keep others from being sent.
+        self._sent.pop(node, None)
+        self._unsent[node] = None
 
     def choose_peers(
         self, count: int, now_ms: clock.Millis, rng: random.Random
     ) -> list[str]:
         """Return peers for the next exchanges, at random."""
         others = [node for node in sorted(self.members) if node != self.own]
+        heard_ms = self._ages.heard_ms_by_node()
         lively = [
             node
             for node in others
-            if now_ms - self._heard_ms.get(node, -SILENT_MS) <= SILENT_MS
+            if now_ms - heard_ms.get(node, -SILENT_MS) <= SILENT_MS
         ]
-        chosen: list[str] = []
-        for _ in range(min(count, len(others))):
-            pool = lively if rng.random() >= SILENT_SHARE else others
-            left = [node for node in pool or others if node not in chosen]
-            left = left or [node for node in others if node not in chosen]
-            chosen.append(rng.choice(left))
-        return chosen
+        from_all = sum(rng.random() < SILENT_SHARE for _ in range(count))
+        wanted = min(count - from_all, len(lively))
+        chosen = rng.sample(lively, wanted)
+        taken = set(chosen)
+        rest = [node for node in others if node not in taken]
+        missing = min(count - wanted, len(rest))
+        return chosen + rng.sample(rest, missing)
 
     def is_isolated(
         self,
@@ -190,7 +176,7 @@
         return _freshness.is_isolated(
             self.own,
             self.members,
-            self._heard_ms,
+            self._ages.heard_ms_by_node(),
             head_age_ms,
             now_ms,
             mode,
--- a/packages/core/src/quetzalward_core/membership/_merge.py
+++ b/packages/core/src/quetzalward_core/membership/_merge.py
@@ -2,7 +2,6 @@
 
 import typing
 
-from quetzalward_core import clock
 from quetzalward_core.membership import _model
 
 Key = typing.TypeVar("Key")
@@ -32,8 +31,8 @@
 def merge(one: _model.Knowledge, other: _model.Knowledge) -> _model.Knowledge:
     """Return everything that two nodes know together.
 
-    Both must use the same clock for `heard_ms_by_node`; `heard` converts the
-    ages of a digest.
+    Both must use the same clock for `heard_ms_by_node`; `AgeTable` converts
+    the ages of a digest.
     """
     return _model.Knowledge(
         _merge_max(one.facts_by_node, other.facts_by_node),
@@ -88,19 +87,3 @@
         ),
     )
     return dict(ranked[:limit])
-
-
-def heard(
-    ages_by_key: typing.Mapping[int, clock.Millis],
-    nodes_by_key: typing.Mapping[int, typing.Sequence[str]],
-    as_of_ms: clock.Millis,
-) -> dict[str, clock.Millis]:
-    """Return when each node was heard, by the receiver's clock.
-
-    `as_of_ms` must not be after the moment the ages were written.
-    """
-    found = {}
-    for key, age_ms in ages_by_key.items():
-        for node in nodes_by_key.get(key, ()):
-            found[node] = as_of_ms - age_ms
-    return found
--- a/packages/core/src/quetzalward_core/membership/_model.py
+++ b/packages/core/src/quetzalward_core/membership/_model.py
@@ -66,7 +66,8 @@
     """A bounded part of a node's knowledge, as it is sent."""
 
     sender: str
-    # Packed by `pack_ages`.
+    # Packed by `AgeTable`.
+    age_keys: bytes
     ages: bytes
     facts_by_node: typing.Mapping[str, Fact]
     basis_by_stop: typing.Mapping[StopKey, int]
--- a/packages/node/src/quetzalward_node/peers/_channels.py
+++ b/packages/node/src/quetzalward_node/peers/_channels.py
@@ -3,7 +3,6 @@
 import collections
 import os
 import threading
-import typing
 
 import attrs
 import grpc
@@ -94,48 +93,29 @@
         body: bytes,
         timeout_ms: clocks.Millis,
     ) -> bytes:
-        """Make one call; raises `CallError` on any failure."""
-        return self.start(peer, method, body, timeout_ms)()
+        """Make one call; raises `CallError` on any failure.
 
-    def start(
-        self,
-        peer: Peer,
-        method: str,
-        body: bytes,
-        timeout_ms: clocks.Millis,
-    ) -> typing.Callable[[], bytes]:
-        """Start a call and return a function that waits for its answer.
-
-        That function raises `CallError` on any failure.
+        A blocking call takes a fifth less CPU time than a future.
         """
         nonce = _auth.new_nonce()
+        sent = self._auth.request_metadata(method, peer.name, nonce, body)
         try:
             stub = self._channel(peer.address).unary_unary(
                 method_path(method), _unchanged, _unchanged
             )
-            future = stub.future(
+            answer, call = stub.with_call(
                 body,
                 timeout=timeout_ms / clocks.MILLIS_PER_SECOND,
-                metadata=self._auth.request_metadata(
-                    method, peer.name, nonce, body
-                ),
+                metadata=sent,
             )
+            metadata = call.trailing_metadata() or ()
         except (OSError, ValueError, grpc.RpcError) as error:
-            raise CallError(str(error)) from error
-
-        def wait() -> bytes:
-            try:
-                answer = bytes(future.result())
-                metadata = future.trailing_metadata() or ()
-            except (grpc.RpcError, grpc.FutureCancelledError) as error:
-                raise CallError(f"{peer.name}: {error}") from error
-            if not self._auth.check_answer(
-                method, peer.name, nonce, metadata, answer
-            ):
-                raise CallError(f"{peer.name}: answer is not authentic")
-            return answer
-
-        return wait
+            raise CallError(f"{peer.name}: {error}") from error
+        if not self._auth.check_answer(
+            method, peer.name, nonce, metadata, answer
+        ):
+            raise CallError(f"{peer.name}: answer is not authentic")
+        return bytes(answer)
 
     def _channel(self, address: str) -> grpc.Channel:
         """Return an open channel, made with the present key files."""
--- a/packages/node/src/quetzalward_node/peers/_codec.py
+++ b/packages/node/src/quetzalward_node/peers/_codec.py
@@ -30,6 +30,7 @@
         sender=digest.sender,
         generation=numbered.generation,
         sequence=numbered.sequence,
+        age_keys=digest.age_keys,
         ages=digest.ages,
     )
     for node, fact in digest.facts_by_node.items():
@@ -62,7 +63,9 @@
         key = decode_stop(stop)
         if key is not None:
             stops[key] = stop.basis
-    digest = membership.Digest(message.sender, message.ages, facts, stops)
+    digest = membership.Digest(
+        message.sender, message.age_keys, message.ages, facts, stops
+    )
     return NumberedDigest(digest, message.generation, message.sequence)
 
 
--- a/packages/node/src/quetzalward_node/peers/_task.py
+++ b/packages/node/src/quetzalward_node/peers/_task.py
@@ -160,30 +160,18 @@
     def round(self) -> None:
         """Exchange digests with a few peers."""
         peers = self.knowledge.begin_round(self._demand())
-        waits = []
         for peer in peers:
-            body = self.knowledge.next_digest()
-            sent_ms = self._clock.now_ms()
-            try:
-                wait = self._channels.start(
-                    peer, "Exchange", body, _knowledge.EXCHANGE_TIMEOUT_MS
-                )
-            except _channels.CallError:
-                self._failed(peer.name)
-                continue
-            waits.append((peer, sent_ms, wait))
-        for peer, sent_ms, wait in waits:
-            self._finish(peer, sent_ms, wait)
-
-    def _finish(
-        self,
-        peer: _channels.Peer,
-        sent_ms: clocks.Millis,
-        wait: typing.Callable[[], bytes],
-    ) -> None:
-        """Merge the answer of one exchange."""
+            self._exchange(peer)
+
+    def _exchange(self, peer: _channels.Peer) -> None:
+        """Exchange digests with one peer."""
+        body = self.knowledge.next_digest()
+        sent_ms = self._clock.now_ms()
         try:
-            numbered = _codec.decode_digest(wait())
+            answer = self._channels.call(
+                peer, "Exchange", body, _knowledge.EXCHANGE_TIMEOUT_MS
+            )
+            numbered = _codec.decode_digest(answer)
         except (_channels.CallError, protobuf.DecodeError) as error:
             _LOG.debug("exchange: {}", error)
             self._failed(peer.name)
