Node wired with peers; lifecycle apart from the wiring

Change: app holds the lifecycle, _wiring builds and connects the tasks, an adapter gives the peers' knowledge to routing, limits and operators. The test that named missing tasks is replaced, because none is missing: a node whose log cannot be reached must be alive and not ready.

--- a/packages/node/src/quetzalward_node/app.py
+++ b/packages/node/src/quetzalward_node/app.py
@@ -47,6 +47,14 @@
     running: tuple[Task, ...] = ()
 
 
+@attrs.define
+class Lifecycle:
+    """Whether the node is stopping, and whether callers are accepted."""
+
+    stop_requested: threading.Event = attrs.field(factory=threading.Event)
+    accepting: typing.Callable[[], bool] = bool
+
+
 @attrs.frozen
 class Context:
     """What every task is built from."""
@@ -55,23 +63,12 @@
     secret: bytes
     clock: clocks.Clock
     telemetry: telemetry.Telemetry
+    lifecycle: Lifecycle
 
 
 Builder = typing.Callable[[Context], Tasks]
 
 
-def build_tasks(context: Context) -> Tasks:
-    """Build the tasks behind the callers' port.
-
-    Raises `NotImplementedError`: the dispatch, log, peers, targets, groups
-    and operators tasks are not part of this version.
-    """
-    raise NotImplementedError(
-        "this version has no dispatch, log, peers, targets, groups and "
-        "operators tasks; a node cannot run yet"
-    )
-
-
 def read_secret(path: str) -> bytes:
     """Return the cluster's secret.
 
@@ -106,7 +103,7 @@
     def __init__(
         self,
         settings: _settings.Settings,
-        build: Builder = build_tasks,
+        build: Builder,
         clock: clocks.Clock | None = None,
     ) -> None:
         """Build every task; `run` or `start` starts them.
@@ -115,11 +112,13 @@
         """
         self._settings = settings
         self.telemetry = telemetry.create(settings.name, settings.trace_file)
+        self._lifecycle = Lifecycle()
         context = Context(
             settings,
             read_secret(settings.secret_file),
             clock or clocks.SystemClock(),
             self.telemetry,
+            self._lifecycle,
         )
         self._tasks = build(context)
         self.callers = callers.CallersServer(
@@ -133,7 +132,7 @@
             clock=context.clock,
             telemetry=self.telemetry,
         )
-        self._stop_requested = threading.Event()
+        self._lifecycle.accepting = lambda: self.ready
 
     @property
     def ready(self) -> bool:
@@ -152,7 +151,7 @@
             for number in STOP_SIGNALS
         }
         try:
-            self._stop_requested.wait()
+            self._lifecycle.stop_requested.wait()
         finally:
             clean = self.stop()
             for number, handler in previous.items():
@@ -175,7 +174,7 @@
 
     def request_stop(self) -> None:
         """Make `run` stop gracefully."""
-        self._stop_requested.set()
+        self._lifecycle.stop_requested.set()
 
     def stop(self) -> bool:
         """Refuse new requests, finish those in progress, stop every task.
--- a/packages/node/src/quetzalward_node/cli.py
+++ b/packages/node/src/quetzalward_node/cli.py
@@ -7,6 +7,7 @@
 
 from quetzalward_core import errors
 from quetzalward_node import _settings
+from quetzalward_node import _wiring
 from quetzalward_node import app
 
 EXIT_CUT_OFF = 1
@@ -24,7 +25,7 @@
     ).push_application()
     try:
         settings = _settings.load_settings(settings_path)
-        node = app.Node(settings)
+        node = app.Node(settings, _wiring.build_tasks)
     except errors.QuetzalwardError as error:
         print(f"{error}\n{error.answer.remedy}", file=sys.stderr)
         return EXIT_INVALID
--- a/packages/node/src/quetzalward_node/control/__init__.py
+++ b/packages/node/src/quetzalward_node/control/__init__.py
@@ -1,6 +1,8 @@
 """The control state as the other tasks of a node use it."""
 
 from quetzalward_node.control._configuration import ConfigurationHolder
+from quetzalward_node.control._peers import DemandBoard
+from quetzalward_node.control._peers import PeerAdapter
 from quetzalward_node.control._registration import Registration
 from quetzalward_node.control._source import ControlViewSource
 from quetzalward_node.control._stops import LocalStops
@@ -8,6 +10,8 @@
 __all__ = [
     "ConfigurationHolder",
     "ControlViewSource",
+    "DemandBoard",
     "LocalStops",
+    "PeerAdapter",
     "Registration",
 ]
--- a/packages/node/src/quetzalward_node/peers/_knowledge.py
+++ b/packages/node/src/quetzalward_node/peers/_knowledge.py
@@ -80,6 +80,20 @@
         key = membership.StopKey(membership.StopKind.TARGET, target)
         return self._stopped(key, started, draining)
 
+    def stops(self) -> dict[membership.StopKey, int]:
+        """Return the basis of each stop order that no start has ended."""
+        with self._lock:
+            self._follow_fold()
+            return self._membership.stops()
+
+    def heard_age_ms_by_node(self) -> dict[str, clocks.Millis]:
+        """Return the time since each other node was last heard by anyone."""
+        with self._lock:
+            self._follow_fold()
+            now_ms = self._clock.now_ms()
+            heard = self._membership.knowledge().heard_ms_by_node
+            return {node: now_ms - at_ms for node, at_ms in heard.items()}
+
     def revision_by_node(self) -> dict[str, int]:
         """Return the configuration in force at each node that said so."""
         with self._lock:
--- a/packages/node/src/quetzalward_node/peers/_task.py
+++ b/packages/node/src/quetzalward_node/peers/_task.py
@@ -38,8 +38,7 @@
 class PeersTask:
     """Knows the other nodes without the log, and answers their calls.
 
-    Implements `interfaces.DispatcherQuery`; `knowledge` implements
-    `interfaces.PeerKnowledge`.
+    Implements `interfaces.DispatcherQuery`.
     """
 
     def __init__(
--- a/packages/node/tests/test_app.py
+++ b/packages/node/tests/test_app.py
@@ -13,9 +13,11 @@
 from unittest import mock
 
 import callers_fakes
+import urllib3
 
 from quetzalward_core import errors
 from quetzalward_node import _settings
+from quetzalward_node import _wiring
 from quetzalward_node import app
 from quetzalward_node import cli
 
@@ -26,6 +28,12 @@
 )
 
 
+def free_port():
+    """Return a port that nothing uses now."""
+    with callers_fakes.socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
 class Recorder:
     """A task that records its start and stop."""
 
@@ -165,10 +173,23 @@
         with self.assertRaises(errors.QuetzalwardError):
             app.read_secret(str(self.folder))
 
-    def test_missing_tasks_are_named(self):
-        settings = _settings.load_settings(self.settings())
-        with self.assertRaisesRegex(NotImplementedError, "dispatch"):
-            app.Node(settings)
+    def test_node_without_a_log_is_alive_but_not_ready(self):
+        settings = _settings.load_settings(
+            self.settings(operators_listen=f"127.0.0.1:{free_port()}")
+        )
+        node = app.Node(settings, _wiring.build_tasks)
+        node.start()
+        try:
+            pool = urllib3.PoolManager()
+            base = f"http://{settings.operators_listen}"
+            self.assertEqual(
+                200, pool.request("GET", base + "/healthz").status
+            )
+            answer = pool.request("GET", base + "/readyz", retries=False)
+            self.assertEqual(503, answer.status)
+            self.assertIn(b"the log has not been read yet", answer.data)
+        finally:
+            self.assertTrue(node.stop())
 
     def test_command_line_passes_the_file(self):
         arguments = ["quetzalward-node", "run", "--settings", "a.json"]
