--- a/packages/bench/src/quetzalward_bench/fold.py
+++ b/packages/bench/src/quetzalward_bench/fold.py
@@ -7,7 +7,7 @@
 import base64
 import collections.abc
 import gc
-import resource
+import pathlib
 import time
 import typing
 
@@ -122,30 +122,26 @@
         stream.add(writer, [changed])
 
 
-def call_stream() -> Stream:
-    """Return a call stream with all keys, an intent and a result each."""
-    stream = Stream()
+def _call_batches() -> typing.Iterator[tuple[str, agreement.Entry]]:
+    """Return writer and entry of an intent and a result for each key."""
     body = base64.b64encode(bytes(range(256)) + bytes(44)).decode()
     for n in range(KEYS):
         writer = f"node-{n % NODES}#nonce"
         intent_id = f"{writer}/{n}"
         customer, key = f"customer-{n % 10}", f"{n:032x}"
-        stream.add(
-            writer,
-            [
-                agreement.CallIntent(
-                    intent_id, customer, key, f"{n:064x}", writer, DAY_MS
-                )
-            ],
+        yield writer, agreement.CallIntent(
+            intent_id, customer, key, f"{n:064x}", writer, DAY_MS
         )
-        stream.add(
-            writer,
-            [
-                agreement.CallResult(
-                    intent_id, customer, key, 201, "application/json", body
-                )
-            ],
+        yield writer, agreement.CallResult(
+            intent_id, customer, key, 201, "application/json", body
         )
+
+
+def call_stream() -> Stream:
+    """Return a call stream with all keys."""
+    stream = Stream()
+    for writer, entry in _call_batches():
+        stream.add(writer, [entry])
     return stream
 
 
@@ -158,6 +154,14 @@
     return (time.perf_counter_ns() - started_ns) / 1e9, value
 
 
+def _resident_mib(field: str) -> float:
+    """Return `VmRSS` (now) or `VmHWM` (highest) of this process."""
+    for line in pathlib.Path("/proc/self/status").read_text().splitlines():
+        if line.startswith(field):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
 def _show(name: str, value: float, unit: str) -> None:
     print(f"{name:45} {value:12,.1f} {unit}", flush=True)
 
@@ -179,9 +183,9 @@
     seconds, data = _timed(fold.to_bytes)
     _show(f"{name}: to_bytes", seconds * 1000, "ms")
     _show(f"{name}: state", len(data) / 1024, "KiB")
-    snapshot = agreement.Snapshot("s", fold.next_offset - 1, data)
+    snapshot = agreement.Snapshot("s", fold.next_offset - 1, fold.encode())
     seconds, parts = _timed(lambda: agreement.split_snapshot(snapshot))
-    _show(f"{name}: pack", seconds * 1000, "ms")
+    _show(f"{name}: encode and pack a snapshot", seconds * 1000, "ms")
     _show(f"{name}: snapshot", sum(len(p.data) for p in parts) / 1024, "KiB")
     _show(f"{name}: parts", len(parts), "")
     records = [agreement.encode_batch("s", p.part + 1, [p]) for p in parts]
@@ -198,9 +202,7 @@
             assert isinstance(entry, agreement.SnapshotPart)
             packed = assembler.add(entry)
             if packed is not None:
-                snapshot = packed.unpack()
-                assert snapshot is not None
-                return fold_class.from_bytes(snapshot.data)
+                return fold_class.decode(packed.lines())
     raise AssertionError("no complete snapshot")
 
 
@@ -230,11 +232,32 @@
     _show("control: record and view", seconds / count * 1e6, "us")
 
 
+def _measure_memory() -> None:
+    """Print what the call fold keeps, and the peaks of its snapshots."""
+    before = _resident_mib("VmRSS")
+    fold = agreement.CallState()
+    for offset, (writer, entry) in enumerate(_call_batches()):
+        data = agreement.encode_batch(writer, offset + 1, [entry])
+        fold.apply_batch(offset, offset, data)
+    kept = _resident_mib("VmRSS") - before
+    _show("calls: memory of the fold", kept, "MiB")
+    snapshot = agreement.Snapshot("s", fold.next_offset - 1, fold.encode())
+    parts = agreement.split_snapshot(snapshot)
+    peak = _resident_mib("VmHWM") - before
+    _show("calls: peak while a snapshot is written", peak, "MiB")
+    records = [agreement.encode_batch("s", p.part + 1, [p]) for p in parts]
+    del fold, snapshot, parts
+    _bootstrap(records, agreement.CallState)
+    peak = _resident_mib("VmHWM") - before
+    _show("calls: peak with a bootstrap after it", peak, "MiB")
+
+
 def main(arguments: list[str]) -> int:
-    """Measure both kinds of stream."""
+    """Measure both kinds of stream; `memory` measures the memory alone."""
+    if arguments == ["memory"]:
+        _measure_memory()
+        return 0
     control = measure("control", control_stream(), agreement.ControlState)
     _measure_view(control)
     measure("calls", call_stream(), agreement.CallState)
-    used = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    _show("peak memory of this process", used / 1024, "MiB")
     return 0
--- a/packages/core/src/quetzalward_core/agreement/_calls.py
+++ b/packages/core/src/quetzalward_core/agreement/_calls.py
@@ -3,11 +3,11 @@
 import enum
 import heapq
 import operator
+import sys
 import typing
 
 import attrs
 
-from quetzalward_core.agreement import _codec
 from quetzalward_core.agreement import _fold
 from quetzalward_core.agreement import _records
 from quetzalward_core.agreement import _results
@@ -57,7 +57,12 @@
 
 _FIELDS = [field.name for field in attrs.fields(CallKey)]
 _row = operator.attrgetter(*_FIELDS)
-_ROWS_PER_PIECE = 500
+_ROWS_PER_LINE = 100
+_STATE_FIELD = _FIELDS.index("state")
+# Few different values; one copy of each saves a third of a key's memory.
+_SHARED_FIELDS = [
+    _FIELDS.index(name) for name in ("customer", "dispatcher", "content_type")
+]
 _Expiry = tuple[int, tuple[str, ...]]
 
 
@@ -80,8 +85,8 @@
         super().__init__()
         self._keys_by_id: dict[KeyId, CallKey] = {}
         self._abandoned_ms_by_intent: dict[str, int] = {}
-        # Expiry times, soonest first; entries of changed keys stay until
-        # their time and are then ignored.
+        # Earliest possible expiry times, soonest first; the time is looked
+        # up again when it has come.
         self._expiries: list[_Expiry] = []
 
     def __len__(self) -> int:
@@ -135,10 +140,15 @@
             return _Void.KEY_TAKEN if same else _Void.KEY_REUSED
         self._set(
             CallKey(
-                **attrs.asdict(entry),
+                customer=sys.intern(entry.customer),
+                key=entry.key,
+                fingerprint=entry.fingerprint,
+                intent_id=entry.intent_id,
+                dispatcher=sys.intern(entry.dispatcher),
                 position=position,
                 state=KeyState.OPEN,
                 touched_ms=self.time_ms,
+                retention_ms=entry.retention_ms,
             )
         )
         return None
@@ -174,7 +184,7 @@
                 state=KeyState.DONE,
                 touched_ms=self.time_ms,
                 status=entry.status,
-                content_type=entry.content_type,
+                content_type=sys.intern(entry.content_type),
                 body=entry.body,
             )
         )
@@ -197,8 +207,9 @@
 
     def _set(self, known: CallKey) -> None:
         key_id = (known.customer, known.key)
+        if key_id not in self._keys_by_id:
+            heapq.heappush(self._expiries, (known.expires_ms, key_id))
         self._keys_by_id[key_id] = known
-        heapq.heappush(self._expiries, (known.expires_ms, key_id))
 
     def _remember_abandoned(self, intent_id: str, time_ms: int) -> None:
         self._abandoned_ms_by_intent[intent_id] = time_ms
@@ -215,8 +226,12 @@
 
     def _expire_key(self, key_id: KeyId) -> None:
         known = self._keys_by_id.get(key_id)
-        if known is not None and known.expires_ms < self.time_ms:
+        if known is None:
+            return
+        if known.expires_ms < self.time_ms:
             del self._keys_by_id[key_id]
+        else:
+            heapq.heappush(self._expiries, (known.expires_ms, key_id))
 
     def _expire_abandoned(self, intent_id: str) -> None:
         since_ms = self._abandoned_ms_by_intent.get(intent_id)
@@ -230,21 +245,28 @@
         self._abandoned_ms_by_intent = dict(other._abandoned_ms_by_intent)
         self._expiries = list(other._expiries)
 
-    def _encode_state(self) -> typing.Iterator[str]:
-        yield f'"abandoned":{_codec.to_json(self._abandoned_ms_by_intent)}'
+    def _members(self) -> typing.Iterator[tuple[str, typing.Any]]:
+        yield "abandoned", self._abandoned_ms_by_intent
         # The order of the keys is that of their intents on the log, the same
         # on every node, so no sort is needed. Rows rather than objects,
         # because a snapshot holds 100,000 keys and more.
-        rows = [_row(known) for known in self._keys_by_id.values()]
-        chunks = (
-            _codec.to_json(rows[start : start + _ROWS_PER_PIECE])[1:-1]
-            for start in range(0, len(rows), _ROWS_PER_PIECE)
-        )
-        yield f'"keys":[{",".join(chunks)}]'
-
-    def _from_document(self, document: _fold.Document) -> None:
-        for row in document["keys"]:
-            known = CallKey(**dict(zip(_FIELDS, row, strict=True)))
-            self._set(attrs.evolve(known, state=KeyState(known.state)))
-        for intent_id, time_ms in document["abandoned"].items():
-            self._remember_abandoned(intent_id, time_ms)
+        known = list(self._keys_by_id.values())
+        for start in range(0, len(known), _ROWS_PER_LINE):
+            chunk = known[start : start + _ROWS_PER_LINE]
+            yield "keys", [_row(item) for item in chunk]
+
+    def _restore_member(self, name: str, value: typing.Any) -> None:
+        if name == "abandoned":
+            for intent_id, time_ms in value.items():
+                self._remember_abandoned(intent_id, time_ms)
+        elif name == "keys":
+            for row in value:
+                self._restore_row(row)
+        else:
+            raise ValueError(f"unknown member {name}")
+
+    def _restore_row(self, row: list[typing.Any]) -> None:
+        row[_STATE_FIELD] = KeyState(row[_STATE_FIELD])
+        for field in _SHARED_FIELDS:
+            row[field] = sys.intern(row[field])
+        self._set(CallKey(*row))
--- a/packages/core/src/quetzalward_core/agreement/_control.py
+++ b/packages/core/src/quetzalward_core/agreement/_control.py
@@ -8,9 +8,9 @@
 from quetzalward_core.agreement import _model
 from quetzalward_core.agreement import _records
 from quetzalward_core.agreement import _results
-from quetzalward_core.agreement import _table
 
 _CONVERTER = _codec.make_converter()
+_ITEMS_PER_LINE = 200
 
 
 class ControlState(_fold.Fold):
@@ -73,35 +73,39 @@
     def _copy_from(self, other: "ControlState") -> None:
         self._tables = other._tables.copy()
 
-    def _encode_state(self) -> typing.Iterator[str]:
+    def _members(self) -> typing.Iterator[tuple[str, typing.Any]]:
         tables = self._tables
-        values: _fold.Document = {
-            "config_revision": tables.config_revision,
-            "config_document": tables.config_document,
-            "config_history": _CONVERTER.unstructure(tables.config_history),
-        }
+        yield "config_revision", tables.config_revision
+        yield "config_document", tables.config_document
+        yield "config_history", _CONVERTER.unstructure(tables.config_history)
         for name in _control_rules.CLASS_BY_TABLE:
-            values[name] = {
-                key: _CONVERTER.unstructure(value)
-                for key, value in getattr(tables, name).items()
-            }
-        for name, value in sorted(values.items()):
-            yield f'"{name}":{_codec.to_json(value)}'
+            # In order of keys: tables are dictionaries whose order depends
+            # on removals, and small enough to be sorted.
+            items = sorted(getattr(tables, name).items())
+            for start in range(0, len(items), _ITEMS_PER_LINE):
+                chunk = dict(items[start : start + _ITEMS_PER_LINE])
+                yield name, _CONVERTER.unstructure(chunk)
 
-    def _from_document(self, document: _fold.Document) -> None:
+    def _restore_member(self, name: str, value: typing.Any) -> None:
         tables = self._tables
-        tables.config_revision = int(document["config_revision"])
-        tables.config_document = dict(document["config_document"])
-        tables.config_history = tuple(
-            _CONVERTER.structure(item, _model.ConfigRevision)
-            for item in document["config_history"]
-        )
-        for name, cls in _control_rules.CLASS_BY_TABLE.items():
-            values: dict[str, typing.Any] = {
-                key: _CONVERTER.structure(value, cls)
-                for key, value in document[name].items()
-            }
-            setattr(tables, name, _table.Table(values))
-        for group in tables.groups_by_id.values():
-            for member in group.hosts:
-                tables.group_ids_by_host.set(member.host, group.group)
+        if name == "config_revision":
+            tables.config_revision = int(value)
+        elif name == "config_document":
+            tables.config_document = dict(value)
+        elif name == "config_history":
+            tables.config_history = tuple(
+                _CONVERTER.structure(item, _model.ConfigRevision)
+                for item in value
+            )
+        else:
+            self._restore_table(name, value)
+
+    def _restore_table(self, name: str, value: dict[str, typing.Any]) -> None:
+        cls = _control_rules.CLASS_BY_TABLE[name]
+        table = getattr(self._tables, name)
+        for key, item in value.items():
+            table.set(key, _CONVERTER.structure(item, cls))
+        if name == "groups_by_id":
+            for key in value:
+                for member in table.get(key).hosts:
+                    self._tables.group_ids_by_host.set(member.host, key)
--- a/packages/core/src/quetzalward_core/agreement/_fold.py
+++ b/packages/core/src/quetzalward_core/agreement/_fold.py
@@ -4,7 +4,6 @@
 import collections
 import json
 import typing
-import zlib
 
 import attrs
 
@@ -33,6 +32,10 @@
     time_ms: int
 
 
+def _line(value: typing.Any) -> bytes:
+    return _codec.to_json(value).encode() + b"\n"
+
+
 class Fold(abc.ABC):
     """A deterministic state of one stream.
 
@@ -77,20 +80,13 @@
         mark = self._writers.get(writer)
         return mark.seq if mark else 0
 
-    def to_bytes(self) -> bytes:
-        """Return the canonical bytes of the state."""
-        # The encoder holds the interpreter's lock, and a state may be 20 MB;
-        # encoding in pieces lets other threads run in between.
-        pieces = [
-            f'"{name}":{_codec.to_json(value)}'
-            for name, value in sorted(self._header().items())
-        ]
-        state = ",".join(self._encode_state())
-        pieces.append(f'"state":{{{state}}}')
-        return ("{" + ",".join(pieces) + "}").encode()
-
-    def _header(self) -> Document:
-        return {
+    def encode(self) -> typing.Iterator[bytes]:
+        """Return the canonical bytes of the state, line by line.
+
+        A state may be 60 MB. Pieces keep the memory of a snapshot small and
+        let other threads run, since the encoder holds the interpreter's lock.
+        """
+        header = {
             "format": FORMAT,
             "stream_kind": self.stream_kind,
             "next_offset": self.next_offset,
@@ -102,6 +98,13 @@
                 for name, mark in self._writers.items()
             },
         }
+        yield _line(header)
+        for name, value in self._members():
+            yield _line([name, value])
+
+    def to_bytes(self) -> bytes:
+        """Return the canonical bytes of the state."""
+        return b"".join(self.encode())
 
     def copy(self) -> typing.Self:
         """Return an independent copy; cheap next to `to_bytes`."""
@@ -116,25 +119,23 @@
 
     @classmethod
     def from_bytes(cls, data: bytes) -> typing.Self:
-        """Return the state of `to_bytes`.
+        """Return the state of `to_bytes`; see `decode`."""
+        return cls.decode(data.splitlines())
+
+    @classmethod
+    def decode(cls, lines: typing.Iterable[bytes]) -> typing.Self:
+        """Return the state of the lines of `encode`.
 
         Raises `QuetzalwardError` of kind `malformed_record` otherwise.
         """
+        fold = cls()
         try:
-            document = json.loads(data)
-            kind = (document["format"], document["stream_kind"])
-            if kind != (FORMAT, cls.stream_kind):
-                raise ValueError(f"unexpected format {kind}")
-            fold = cls()
-            fold._restore(document)
-            fold._from_document(document["state"])
-        except (
-            ValueError,
-            KeyError,
-            TypeError,
-            AttributeError,
-            zlib.error,
-        ) as error:
+            remaining = iter(lines)
+            fold._restore(json.loads(next(remaining, b"")))
+            for line in remaining:
+                name, value = json.loads(line)
+                fold._restore_member(name, value)
+        except Exception as error:  # cattrs raises many types for bad input
             raise errors.QuetzalwardError(
                 errors.ErrorKind.MALFORMED_RECORD, f"snapshot: {error}"
             ) from error
@@ -151,17 +152,23 @@
         """Take over another fold's state without sharing what changes."""
 
     @abc.abstractmethod
-    def _encode_state(self) -> typing.Iterator[str]:
-        """Return the members of the state's JSON object, in order."""
+    def _members(self) -> typing.Iterator[tuple[str, typing.Any]]:
+        """Return the state as named JSON values, in a fixed order.
+
+        A name may come repeatedly, each time with some of its items.
+        """
 
     @abc.abstractmethod
-    def _from_document(self, document: Document) -> None:
-        """Set the state from JSON values."""
+    def _restore_member(self, name: str, value: typing.Any) -> None:
+        """Add a value of `_members` to the state."""
 
     def _expire(self) -> None:
         """Drop what is older than its retention, by the log's time."""
 
     def _restore(self, document: Document) -> None:
+        kind = (document["format"], document["stream_kind"])
+        if kind != (FORMAT, self.stream_kind):
+            raise ValueError(f"unexpected format {kind}")
         self.next_offset = int(document["next_offset"])
         self.time_ms = int(document["time_ms"])
         self.accepted_count = int(document["accepted_count"])
--- a/packages/core/src/quetzalward_core/agreement/_snapshots.py
+++ b/packages/core/src/quetzalward_core/agreement/_snapshots.py
@@ -1,38 +1,44 @@
 """Snapshots as parts on the stream itself."""
 
 import base64
-import binascii
 import collections
+import typing
 import zlib
 
 import attrs
 
 from quetzalward_core.agreement import _records
+from quetzalward_core import errors
 
 # Text of one part; the log's records are limited in size.
 MAX_PART_CHARS = 256 * 1024
 # Several nodes may write at once, and a writer may stop half way; more
 # unfinished snapshots than this are dropped, the oldest first.
 MAX_PENDING = 8
-MAX_STATE_BYTES = 512 * 1024 * 1024
+# A state is unpacked in pieces of this size, to keep the memory small.
+_UNPACK_BYTES = 256 * 1024
 # Level 1 costs a quarter of the time of the default for a tenth more bytes.
 _COMPRESSION_LEVEL = 1
 
 
 @attrs.frozen
 class Snapshot:
-    """A complete snapshot; `data` is a fold's `to_bytes()`."""
+    """What a snapshot is called and covers, and the lines of its state."""
 
     snapshot_id: str
     through_offset: int
-    data: bytes
+    lines: typing.Iterable[bytes]
 
 
 def split_snapshot(
     snapshot: Snapshot, part_chars: int = MAX_PART_CHARS
 ) -> list[_records.SnapshotPart]:
     """Return the parts of a snapshot, each to be appended alone."""
-    packed = zlib.compress(snapshot.data, _COMPRESSION_LEVEL)
+    packer = zlib.compressobj(_COMPRESSION_LEVEL)
+    packed = bytearray()
+    for line in snapshot.lines:
+        packed += packer.compress(line)
+    packed += packer.flush()
     text = base64.b64encode(packed).decode("ascii")
     chunks = [
         text[start : start + part_chars]
@@ -59,17 +65,34 @@
     parts: int
     text: str
 
-    def unpack(self) -> Snapshot | None:
-        """Return the snapshot, or `None` if its data is damaged."""
+    def lines(self) -> typing.Iterator[bytes]:
+        """Unpack the lines of the state, one after another.
+
+        Raises `QuetzalwardError` of kind `malformed_record` when it comes to
+        damaged data.
+        """
         try:
             packed = base64.b64decode(self.text, validate=True)
-            unpacker = zlib.decompressobj()
-            data = unpacker.decompress(packed, MAX_STATE_BYTES)
-        except (binascii.Error, ValueError, zlib.error):
-            return None
-        if not unpacker.eof:
-            return None
-        return Snapshot(self.snapshot_id, self.through_offset, data)
+            yield from _unpacked_lines(packed)
+        except (ValueError, zlib.error) as error:
+            raise errors.QuetzalwardError(
+                errors.ErrorKind.MALFORMED_RECORD,
+                f"snapshot {self.snapshot_id}: {error}",
+            ) from error
+
+
+def _unpacked_lines(packed: bytes) -> typing.Iterator[bytes]:
+    unpacker = zlib.decompressobj()
+    rest = b""
+    while not unpacker.eof:
+        piece = unpacker.decompress(packed, _UNPACK_BYTES)
+        packed = unpacker.unconsumed_tail
+        if not piece and not packed and not unpacker.eof:
+            raise ValueError("the data ends early")
+        *lines, rest = (rest + piece).split(b"\n")
+        yield from lines
+    if rest:
+        raise ValueError("the last line ends early")
 
 
 @attrs.define
--- a/packages/core/tests/agreement_world.py
+++ b/packages/core/tests/agreement_world.py
@@ -91,7 +91,7 @@
             listener(result, data)
         return record[0]
 
-    def snapshots(self) -> list[agreement.Snapshot]:
+    def snapshots(self) -> list[agreement.PackedSnapshot]:
         """Return the complete snapshots among the kept records."""
         assembler = agreement.SnapshotAssembler()
         found = []
@@ -103,12 +103,11 @@
             for entry in batch.entries:
                 if isinstance(entry, agreement.SnapshotPart):
                     packed = assembler.add(entry)
-                    snapshot = packed.unpack() if packed else None
-                    if snapshot is not None:
-                        found.append(snapshot)
+                    if packed is not None:
+                        found.append(packed)
         return found
 
-    def usable(self) -> list[agreement.Snapshot]:
+    def usable(self) -> list[agreement.PackedSnapshot]:
         """Return the snapshots from which the log can be read on."""
         return [
             snapshot
@@ -152,7 +151,7 @@
         if not usable:
             return
         snapshot = usable[choice % len(usable)]
-        fold = self.world.fold_class.from_bytes(snapshot.data)
+        fold = self.world.fold_class.decode(snapshot.lines())
         if fold.next_offset > self.fold.next_offset:
             self.fold = fold
             self.loaded += 1
@@ -228,7 +227,7 @@
     fold: agreement.Fold, name: str, rng: random.Random
 ) -> list[agreement.SnapshotPart]:
     """Return a snapshot's parts in any order, some of them repeated."""
-    snapshot = agreement.Snapshot(name, fold.next_offset - 1, fold.to_bytes())
+    snapshot = agreement.Snapshot(name, fold.next_offset - 1, fold.encode())
     parts = agreement.split_snapshot(snapshot, SNAPSHOT_PART_CHARS)
     parts += rng.choices(parts, k=rng.randrange(2))
     rng.shuffle(parts)
--- a/packages/core/tests/test_agreement_basics.py
+++ b/packages/core/tests/test_agreement_basics.py
@@ -336,6 +336,23 @@
         self.log.raw("")
         self.assertIsNone(self.state.lookup("c", "k"))
 
+    def test_a_log_clock_that_steps_back_shortens_no_retention(self) -> None:
+        self.log.time_ms = 5_000
+        self.log.raw("")
+        self.log.time_ms = 0
+        self.reason(self.intent(1))
+        self.log.time_ms = 5_000 + RETENTION_MS
+        self.log.raw("")
+        self.assertIsNotNone(self.state.lookup("c", "k"))
+
+    def test_a_result_of_another_intent_is_void(self) -> None:
+        self.reason(self.intent(1))
+        other = agreement.CallResult("n1#a/2", "c", "k", 201, "t", None)
+        self.assertEqual(self.reason(other), "wrong_intent")
+        known = self.state.lookup("c", "k")
+        assert known is not None
+        self.assertIs(known.state, agreement.KeyState.OPEN)
+
     def test_bytes_round_trip(self) -> None:
         self.reason(self.intent(1))
         self.reason(agreement.CallAbandoned("n1#a/9", "c", "other"))
--- a/packages/core/tests/test_agreement_rules.py
+++ b/packages/core/tests/test_agreement_rules.py
@@ -9,8 +9,13 @@
 from hypothesis import strategies
 
 from quetzalward_core import agreement
+from quetzalward_core import errors
 
 DURATION_MS = agreement.LEASE_DURATION_MS
+LINES = [
+    random.Random(seed).randbytes(200).hex().encode() + b"\n"
+    for seed in range(5)
+]
 FIXED = hypothesis.settings(derandomize=True, database=None, deadline=None)
 
 
@@ -92,8 +97,7 @@
     """Guards assembly of parts and the decision to write."""
 
     def parts(self, name: str = "s") -> list[agreement.SnapshotPart]:
-        data = random.Random(3).randbytes(1_000)
-        snapshot = agreement.Snapshot(name, 9, data)
+        snapshot = agreement.Snapshot(name, 9, LINES)
         return agreement.split_snapshot(snapshot, 200)
 
     def test_parts_in_any_order_and_repeated(self) -> None:
@@ -105,10 +109,18 @@
             assembler = agreement.SnapshotAssembler()
             found = [assembler.add(part) for part in order]
             packed = next(p for p in found if p is not None)
-            snapshot = packed.unpack()
-            assert snapshot is not None
-            self.assertEqual(snapshot.through_offset, 9)
-            self.assertEqual(snapshot.data, random.Random(3).randbytes(1_000))
+            self.assertEqual(packed.through_offset, 9)
+            self.assertEqual(list(packed.lines()), [b[:-1] for b in LINES])
+
+    def test_damaged_data_is_an_error_of_a_listed_kind(self) -> None:
+        whole = agreement.split_snapshot(agreement.Snapshot("s", 9, LINES))
+        text = whole[0].data
+        for damaged in ("", "!", text[:-8], text[:400], "eJw="):
+            packed = agreement.PackedSnapshot("s", 9, 1, damaged)
+            with self.assertRaises(errors.QuetzalwardError) as caught:
+                list(packed.lines())
+            kind = caught.exception.kind
+            self.assertIs(kind, errors.ErrorKind.MALFORMED_RECORD)
 
     def test_contradicting_parts_are_ignored(self) -> None:
         parts = self.parts()
--- a/packages/node/src/quetzalward_node/log/_bootstrap.py
+++ b/packages/node/src/quetzalward_node/log/_bootstrap.py
@@ -103,13 +103,10 @@
 def _unpack(
     packed: agreement.PackedSnapshot, fold_class: type[FoldT]
 ) -> FoldT | None:
-    snapshot = packed.unpack()
-    if snapshot is None:
-        return None
     try:
-        fold = fold_class.from_bytes(snapshot.data)
+        fold = fold_class.decode(packed.lines())
     except errors.QuetzalwardError:
         return None
-    if fold.next_offset != snapshot.through_offset + 1:
+    if fold.next_offset != packed.through_offset + 1:
         return None
     return fold
--- a/packages/node/src/quetzalward_node/log/_snapshots.py
+++ b/packages/node/src/quetzalward_node/log/_snapshots.py
@@ -77,17 +77,18 @@
         snapshot = agreement.Snapshot(
             f"{self._appender.writer}/{self._number}",
             fold.next_offset - 1,
-            fold.to_bytes(),
+            fold.encode(),
         )
-        for part in agreement.split_snapshot(snapshot):
+        parts = agreement.split_snapshot(snapshot)
+        for part in parts:
             if not self._append(part, stopping):
                 return False
         self.written_count += 1
         _LOG.info(
-            "{}: snapshot through offset {}, {} bytes",
+            "{}: snapshot through offset {}, {} parts",
             self._reader.stream,
             snapshot.through_offset,
-            len(snapshot.data),
+            len(parts),
         )
         return True
 
--- a/packages/node/tests/test_log_control.py
+++ b/packages/node/tests/test_log_control.py
@@ -274,6 +274,36 @@
         reader.step()
         self.assertEqual(reader.head_age_ms(), 0)
 
+    def test_a_slow_answer_is_as_old_as_its_request(self) -> None:
+        """A node that was paused during a read is not fresh after it."""
+        task = self.stepped()
+        task.reader.step()
+        manual, store = self.manual, self.store
+
+        class SlowStore:
+            def read(
+                self, stream: str, start: int, limit: int, wait_ms: int
+            ) -> _client.Page:
+                page = store.read(stream, start, limit, wait_ms)
+                manual.advance(8_000)
+                return page
+
+        task.reader._store = SlowStore()  # type: ignore
+        task.reader.step()
+        self.assertEqual(task.reader.head_age_ms(), 8_000)
+
+    def test_a_bootstrap_never_moves_back(self) -> None:
+        self.fill(5)
+        self.snapshot()
+        self.fill(3, "later#a")
+        task = self.stepped()
+        self.read_to_head(task)
+        before = task.reader.fold
+        task.reader._bootstrapped = False
+        task.reader.step()
+        self.assertIs(task.reader.fold, before)
+        self.assertEqual(before.to_bytes(), self.reference())
+
     def test_a_read_that_stops_before_the_head_is_not_fresh(self) -> None:
         self.fill(250)
         task = self.stepped()
@@ -297,23 +327,23 @@
         self.assertEqual(task.reader.head_age_ms(), 100)
         self.assertEqual(task.reader.fold.next_offset, 3)
 
-    def snapshot(self, parts: int = 3) -> bytes:
-        """Put a snapshot of all records on the log; return its bytes."""
+    def snapshot(self, parts: int = 3) -> list[bytes]:
+        """Put a snapshot of all records on the log; return its lines."""
         fold = agreement.ControlState()
         for record in self.log.streams[CONTROL].records:
             fold.apply_batch(
                 record["offset"], record["time_ms"], record["data"]
             )
-        data = fold.to_bytes()
+        lines = list(fold.encode())
         through = fold.next_offset - 1
-        snapshot = agreement.Snapshot(f"s{through}", through, data)
+        snapshot = agreement.Snapshot(f"s{through}", through, lines)
         whole = agreement.split_snapshot(snapshot)[0]
         size = -(-len(whole.data) // parts)
         for part in agreement.split_snapshot(snapshot, size):
             writer = f"snapshot#{through}"
             batch = agreement.encode_batch(writer, part.part + 1, [part])
             self.log.append(CONTROL, f"{writer}:{part.part}", batch)
-        return data
+        return lines
 
     def reference(self) -> bytes:
         fold = agreement.ControlState()
@@ -410,7 +440,7 @@
         self.read_to_head(task)
         self.assertTrue(task.snapshots.due())
         fold = task.reader.fold.copy()
-        snapshot = agreement.Snapshot("s", 5_000, fold.to_bytes())
+        snapshot = agreement.Snapshot("s", 5_000, fold.encode())
         first, second = agreement.split_snapshot(snapshot, 1_000)[:2]
         for number, part in enumerate((first, second)):
             batch = agreement.encode_batch("s", number + 1, [part])
