Fail over for a missing usage; end an attempt before its slot is freed

Cause: an engine that broke between finish and usage left a usage with 0 prompt tokens, and a continuation after the finish counted a refusing engine as a whole answer. A slot was released before the connection of its attempt was closed, so a cold target could carry one request more than its slots.

Change: an attempt is complete without a usage only if the caller is owed none. The connection is closed and the cancel queued before the release.

Conclusion: usage counts are the engine's or the request fails over.

--- a/packages/node/src/quetzalward_node/callers/_stream.py
+++ b/packages/node/src/quetzalward_node/callers/_stream.py
@@ -219,10 +219,9 @@
                 sent=True,
             ) from error
         except _engine.AttemptFailedError:
-            if self._phase < streams.Phase.FINISH:
+            if self._phase < streams.Phase.FINISH or self._lacks_usage:
                 raise
-            # Every token and the finish were sent; only the usage or the
-            # terminal event is missing, and the node knows both.
+            # Only the terminal event is missing, which the node writes.
         if self._phase < streams.Phase.FINISH:
             raise _engine.AttemptFailedError(
                 _Result.FAILED,
@@ -233,6 +232,12 @@
                 sent=True,
             )
 
+    @property
+    def _lacks_usage(self) -> bool:
+        """Return whether the caller is owed a usage that is not known."""
+        owed = self.draft.include_usage or not self.draft.stream
+        return owed and self._usage is None
+
     def _relay_chunk(
         self,
         attempt: _engine.EngineAttempt,
@@ -291,21 +296,24 @@
         result: _Result,
         spans: _AttemptSpans,
     ) -> None:
-        """Release the grant; must not raise before it has done so."""
+        """End the engine's work, then release the grant.
+
+        In this order, so that the slot is not granted again while the target
+        still carries the attempt.
+        """
         report = interfaces.AttemptReport(result)
-        if attempt is not None:
-            report = attempt.report(result)
         try:
-            self.parts.dispatcher.release(grant, report)
-        finally:
-            self._excluded |= {grant.target_id}
-            self.parts.meters.attempts.add(result.value)
-            spans.end(result.value)
             if attempt is not None:
+                report = attempt.report(result)
                 attempt.close()
                 if attempt.sent and result in _TO_CANCEL:
                     attempt_id = attempt.request.attempt_id
                     self.parts.canceller.cancel(grant.url, attempt_id)
+        finally:
+            self._excluded |= {grant.target_id}
+            self.parts.dispatcher.release(grant, report)
+        self.parts.meters.attempts.add(result.value)
+        spans.end(result.value)
 
     def _raise_if_interrupted(self) -> None:
         cause = self.interruption.cause
--- a/packages/node/tests/callers_fakes.py
+++ b/packages/node/tests/callers_fakes.py
@@ -76,6 +76,8 @@
     # Leave out the token at this index.
     skip_index: int | None = None
     ignore_resume: bool = False
+    # Close the connection after the finish, before the usage.
+    break_at_usage: bool = False
     numbered: bool = True
     status: int = 200
     error_body: dict[str, typing.Any] = attrs.field(factory=dict)
@@ -182,6 +184,10 @@
         choice.update({"delta": {}} if chat else {"text": ""})
         choice["finish_reason"] = "length"
         self._event({"id": "e", "choices": [choice]})
+        if script.break_at_usage:
+            self.connection.shutdown(socket.SHUT_RDWR)
+            self.close_connection = True
+            return
         usage = {"prompt_tokens": 3, "completion_tokens": total - start}
         self._event({"id": "e", "choices": [], "usage": usage})
         self._chunk(b"data: [DONE]\n\n")
--- a/packages/node/tests/test_callers_hostile.py
+++ b/packages/node/tests/test_callers_hostile.py
@@ -7,6 +7,7 @@
 import callers_fakes
 import hypothesis
 from hypothesis import strategies
+import logbook
 
 from quetzalward_core import errors
 from quetzalward_node import callers
@@ -213,6 +214,33 @@
             self.assert_alive()
 
 
+class LogTest(HostileTestCase):
+    """Guards against log lines that a caller can forge or multiply."""
+
+    def test_unexpected_error_is_logged_once_and_escaped(self):
+        self.start()
+
+        def fail(request):
+            raise ValueError(f"bad {request.prompt}")
+
+        self.front.router.acquire = fail
+        body = json.dumps({"model": "small", "prompt": "a\r\nb\x1b[1m"})
+        handler = logbook.TestHandler()
+        # Application-wide, since the workers log from their own threads.
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+        for _ in range(3):
+            self.assert_kind("internal", post(body=body.encode()))
+        errors_logged = [
+            record.message
+            for record in handler.records
+            if record.level >= logbook.ERROR
+        ]
+        self.assertEqual(1, len(errors_logged))
+        self.assertTrue(errors_logged[0].isprintable(), errors_logged)
+        self.assertIn("ValueError: bad a", errors_logged[0])
+
+
 class AcceptedTest(HostileTestCase):
     """Guards against refusing unusual but valid requests."""
 
