--- a/packages/node/src/quetzalward_node/callers/_server.py
+++ b/packages/node/src/quetzalward_node/callers/_server.py
@@ -58,31 +58,15 @@
         self._connections = _targets.TargetConnections()
         self._canceller = _cancels.Canceller(self._connections, self._meters)
         self._watch = _watch.CallerWatch(clock)
-        drafts = _stream.Parts(
-            dispatcher,
-            self._connections,
-            self._canceller,
-            clock,
-            telemetry.tracing,
-            self._meters,
-        )
-        calls_parts = _service_attempt.Parts(
-            services,
-            calls,
-            dispatcher.may_retry,
-            self._connections,
-            clock,
-            telemetry.tracing,
-            self._meters,
-        )
+        self._clock = clock
         self._handler = _routes.Handler(
-            _routes.Parts(
-                drafts,
-                calls_parts,
+            self._parts(
+                dispatcher,
+                services,
+                calls,
                 configuration,
-                self._watch,
-                # The cluster's secret also serves other purposes.
-                hashlib.sha256(b"quetzalward event ids\0" + secret).digest(),
+                telemetry.tracing,
+                secret,
             )
         )
         self._http = _http.CallersHttpServer(
@@ -161,6 +145,39 @@
         _LOG.info("stopped serving callers")
         return done
 
+    def _parts(
+        self,
+        dispatcher: interfaces.Dispatcher,
+        services: interfaces.ServiceRouter,
+        calls: interfaces.CallRegistry,
+        configuration: typing.Callable[[], config.Configuration],
+        tracing: telemetries.Tracing,
+        secret: bytes,
+    ) -> _routes.Parts:
+        drafts = _stream.Parts(
+            dispatcher,
+            self._connections,
+            self._canceller,
+            self._clock,
+            tracing,
+            self._meters,
+        )
+        service_parts = _service_attempt.Parts(
+            services,
+            calls,
+            dispatcher.may_retry,
+            self._connections,
+            self._clock,
+            tracing,
+            self._meters,
+        )
+        # The cluster's secret also serves other purposes.
+        label = b"quetzalward event ids\0"
+        event_secret = hashlib.sha256(label + secret).digest()
+        return _routes.Parts(
+            drafts, service_parts, configuration, self._watch, event_secret
+        )
+
     def _register_gauges(self, metrics: telemetries.Metrics) -> None:
         prefix = "quetzalward_callers_"
         metrics.gauge(
--- a/packages/node/tests/test_callers_openai.py
+++ b/packages/node/tests/test_callers_openai.py
@@ -91,6 +91,25 @@
         self.assertEqual(1, self.front.server.open_connections)
 
 
+class ClientFailoverTest(ClientTestCase):
+    """Guards against a failover that the client library notices."""
+
+    def test_stream_goes_on_after_an_engine_breaks(self):
+        self.start(callers_fakes.Engine(break_after=2), callers_fakes.Engine())
+        chunks = list(self.chat(stream=True))
+        parts = [chunk.choices[0].delta.content for chunk in chunks]
+        text = "".join(part or "" for part in parts)
+        self.assertEqual(callers_fakes.text(PROMPT, 6), text)
+        self.assertEqual(2, len(self.front.router.granted))
+        self.assertEqual(1, len({chunk.id for chunk in chunks}))
+
+    def test_error_in_mid_stream_is_raised(self):
+        self.start(callers_fakes.Engine(break_after=2), retries=0)
+        with self.assertRaises(openai.APIError) as raised:
+            list(self.chat(stream=True))
+        self.assertEqual("target_failed", raised.exception.code)
+
+
 class ClientErrorTest(ClientTestCase):
     """Guards against errors that the client library misreads."""
 
