--- a/packages/node/tests/test_callers_vanished.py
+++ b/packages/node/tests/test_callers_vanished.py
@@ -51,6 +51,12 @@
                     )
                     sock.close()
                 self.assertTrue(self.front.router.wait_balanced())
+                # A thread is free only some time after its request is done.
+                self.assertTrue(
+                    callers_fakes.wait_until(
+                        lambda: self.front.server.in_progress == 0
+                    )
+                )
                 engine.script.stall_after = None
                 engine.released.set()
                 text = text_of(self.events())
