Membership: answers carry only what the requester lacks

Change: requests carry one version byte a node and no facts; answers carry the facts that the requester lacks; which nodes have the newest configuration is one bit a node. Keys travel only between nodes with different folds.

--- a/packages/bench/src/quetzalward_bench/_rounds.py
+++ b/packages/bench/src/quetzalward_bench/_rounds.py
@@ -77,12 +77,12 @@
         self.said_ms.setdefault((name, fact.version), now_ms)
         for peer_name in self._peers(name, now_ms, second):
             peer = self.nodes[peer_name]
-            request = node.digest(now_ms)
+            request = node.request(now_ms)
             if self._push_ms is None:
-                peer.receive_facts(request)
+                peer.receive_undated(request)
             else:
                 peer.receive(request, now_ms - self._push_ms)
-            answer = peer.digest(now_ms)
+            answer = peer.answer(request, now_ms)
             node.receive(answer, now_ms)
             self._count(request)
             self._count(answer)
--- a/packages/core/src/quetzalward_core/membership/__init__.py
+++ b/packages/core/src/quetzalward_core/membership/__init__.py
@@ -1,7 +1,6 @@
 """What a node knows of its peers without the log."""
 
 from quetzalward_core.membership._ages import AgeTable
-from quetzalward_core.membership._ages import node_key
 from quetzalward_core.membership._codes import customer_key
 from quetzalward_core.membership._codes import Demand
 from quetzalward_core.membership._codes import pack_demand
@@ -11,6 +10,9 @@
 from quetzalward_core.membership._freshness import is_isolated
 from quetzalward_core.membership._freshness import MAJORITY
 from quetzalward_core.membership._freshness import REGION
+from quetzalward_core.membership._in_force import InForce
+from quetzalward_core.membership._index import node_key
+from quetzalward_core.membership._index import NodeIndex
 from quetzalward_core.membership._membership import InFlight
 from quetzalward_core.membership._membership import MAX_FACT_BYTES
 from quetzalward_core.membership._membership import MAX_STOPS
@@ -33,12 +35,14 @@
     "FRESH_MS",
     "Fact",
     "InFlight",
+    "InForce",
     "Knowledge",
     "MAJORITY",
     "MAX_FACT_BYTES",
     "MAX_STOPS",
     "Member",
     "Membership",
+    "NodeIndex",
     "REGION",
     "StopKey",
     "StopKind",
--- a/packages/node/src/quetzalward_node/peers/_codec.py
+++ b/packages/node/src/quetzalward_node/peers/_codec.py
@@ -30,8 +30,12 @@
         sender=digest.sender,
         generation=numbered.generation,
         sequence=numbered.sequence,
-        age_keys=digest.age_keys,
+        fold_hash=digest.fold_hash,
+        keys=digest.keys,
         ages=digest.ages,
+        versions=digest.versions,
+        revision=digest.revision,
+        in_force=digest.in_force,
     )
     for node, fact in digest.facts_by_node.items():
         message.facts.add(
@@ -64,7 +68,15 @@
         if key is not None:
             stops[key] = stop.basis
     digest = membership.Digest(
-        message.sender, message.age_keys, message.ages, facts, stops
+        message.sender,
+        message.fold_hash,
+        message.keys,
+        message.ages,
+        message.versions,
+        message.revision,
+        message.in_force,
+        facts,
+        stops,
     )
     return NumberedDigest(digest, message.generation, message.sequence)
 
--- a/packages/node/src/quetzalward_node/peers/_knowledge.py
+++ b/packages/node/src/quetzalward_node/peers/_knowledge.py
@@ -114,10 +114,11 @@
             self._membership.set_own(revision, demand_by_customer, now_ms)
             return self._choose(now_ms)
 
-    def next_digest(self) -> bytes:
-        """Return the next digest, encoded."""
+    def next_request(self) -> bytes:
+        """Return the digest that begins an exchange, encoded."""
         with self._lock:
-            return self._next_digest()
+            now_ms = self._clock.now_ms()
+            return self._encoded(self._membership.request(now_ms))
 
     def receive_answer(
         self, numbered: _codec.NumberedDigest, sent_ms: clocks.Millis
@@ -138,8 +139,9 @@
                     numbered.digest, now_ms - EXCHANGE_TIMEOUT_MS
                 )
             else:
-                self._membership.receive_facts(numbered.digest)
-            return self._next_digest()
+                self._membership.receive_undated(numbered.digest)
+            answer = self._membership.answer(numbered.digest, now_ms)
+            return self._encoded(answer)
 
     def forget_active(self, node: str) -> None:
         """Replace an active peer that does not answer."""
@@ -197,16 +199,13 @@
             lambda key, basis: _ended(view, key, basis)
         )
 
-    def _next_digest(self) -> bytes:
-        """Return the next digest, encoded."""
+    def _encoded(self, digest: membership.Digest) -> bytes:
+        """Return a digest with its number, encoded."""
         self._sequence += 1
         own = self._membership.members.get(self._name)
+        generation = own.joined if own else 0
         return _codec.encode_digest(
-            _codec.NumberedDigest(
-                self._membership.digest(self._clock.now_ms()),
-                own.joined if own else 0,
-                self._sequence,
-            )
+            _codec.NumberedDigest(digest, generation, self._sequence)
         )
 
     def _ages_count(
--- a/packages/node/src/quetzalward_node/peers/_task.py
+++ b/packages/node/src/quetzalward_node/peers/_task.py
@@ -165,7 +165,7 @@
 
     def _exchange(self, peer: _channels.Peer) -> None:
         """Exchange digests with one peer."""
-        body = self.knowledge.next_digest()
+        body = self.knowledge.next_request()
         sent_ms = self._clock.now_ms()
         try:
             answer = self._channels.call(
