--- a/packages/core/src/quetzalward_core/config/_check.py
+++ b/packages/core/src/quetzalward_core/config/_check.py
@@ -171,6 +171,9 @@
     for name in ("choices", "subset"):
         if getattr(routing, name) < 1:
             yield _codec.Problem(("routing", name), "must be at least 1")
+    if routing.policy not in _model.ROUTING_POLICIES:
+        accepted = " or ".join(map(repr, _model.ROUTING_POLICIES))
+        yield _codec.Problem(("routing", "policy"), f"must be {accepted}")
     if not 0 <= routing.max_ejected_fraction < 1:
         yield _codec.Problem(
             ("routing", "max_ejected_fraction"), "must be from 0 to below 1"
--- a/packages/core/src/quetzalward_core/config/_model.py
+++ b/packages/core/src/quetzalward_core/config/_model.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+ROUTING_POLICIES = ("cost", "random")
 DEFAULT_CALL_RETENTION_MS = 24 * 60 * 60 * 1000
 
 
@@ -106,6 +107,9 @@
 class Routing:
     """Parameters of the choice of a target."""
 
+    # "random" is the baseline of experiments: a random free target, without
+    # prefix affinity, zone preference, ejection and early rejection.
+    policy: str = "cost"
     choices: int = 3
     subset: int = 24
     zone_penalty_ms: float = 2.0
--- a/packages/core/tests/test_config.py
+++ b/packages/core/tests/test_config.py
@@ -109,6 +109,10 @@
                 {"routing": {"max_ejected_fraction": 1}},
                 "routing.max_ejected_fraction: must be from 0 to below 1",
             ),
+            (
+                {"routing": {"policy": "cheapest"}},
+                "routing.policy: must be 'cost' or 'random'",
+            ),
             (
                 {"models": {"draft": {"hosts_per_replica": 0}}},
                 "models.draft.hosts_per_replica: must be at least 1",
--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -181,6 +181,8 @@
     ) -> str | None:
         """Choose among free targets; a straggler only as the last resort."""
         settings = self._control.configuration.routing
+        if settings.policy == "random":
+            return self._rng.choice([*warm, *cold]) if warm or cold else None
         watched = [
             group.group_id
             for group in self._watched_groups()
--- a/packages/node/src/quetzalward_node/dispatch/_state.py
+++ b/packages/node/src/quetzalward_node/dispatch/_state.py
@@ -160,15 +160,7 @@
         ahead = 1 + line.queue.position(
             request.customer, priority, settings.weight, cost
         )
-        base = self.pool.base_model(request.model) or request.model
-        rejection = limits.check_wait(
-            line.drain.wait_ms(ahead, now_ms),
-            self.pool.first_token_ms(base),
-            now_ms,
-            request.deadline_ms,
-            self.control.configuration.limits.max_queue_ms,
-            self._rng,
-        )
+        rejection = self._early_rejection(request, line, ahead, now_ms)
         if rejection is not None:
             self.customers.finish(request.request_id)
             return errors.QuetzalwardError(
@@ -187,6 +179,27 @@
         )
         return None
 
+    def _early_rejection(
+        self,
+        request: interfaces.RouteRequest,
+        line: _Line,
+        ahead: int,
+        now_ms: clock.Millis,
+    ) -> limits.Rejection | None:
+        """Return a rejection if the queue is too long for a request."""
+        settings = self.control.configuration
+        if settings.routing.policy == "random":
+            return None
+        base = self.pool.base_model(request.model) or request.model
+        return limits.check_wait(
+            line.drain.wait_ms(ahead, now_ms),
+            self.pool.first_token_ms(base),
+            now_ms,
+            request.deadline_ms,
+            settings.limits.max_queue_ms,
+            self._rng,
+        )
+
     def _wait_limit(
         self, request: interfaces.RouteRequest, now_ms: clock.Millis
     ) -> clock.Millis:
--- a/packages/node/tests/test_dispatch_state.py
+++ b/packages/node/tests/test_dispatch_state.py
@@ -260,6 +260,23 @@
         assert outcome.retry_after_ms is not None
         self.assertGreaterEqual(outcome.retry_after_ms, 1_000)
 
+    def test_random_policy_does_not_reject_early(self) -> None:
+        # Guards the baseline of the experiments against a policy's help.
+        settings = attrs.evolve(
+            self.fixture.control.current.configuration,
+            routing=config.Routing(policy="random"),
+        )
+        self.fixture.control.set(configuration=settings)
+        for n in range(10, 20):
+            self.fixture.submit(n)
+        now_ms = 0
+        for grant in self.grants[:4]:
+            now_ms += 800
+            self.fixture.state.release(grant, OK, now_ms)
+            self.fixture.state.tick(now_ms)
+        self.fixture.now_ms = now_ms
+        self.assertIsNone(self.fixture.submit(30))
+
     def test_retries_go_before_the_queue(self) -> None:
         self.fixture.submit(9)
         self.fixture.submit(10, attempt=2)
--- a/packages/node/tests/test_pool.py
+++ b/packages/node/tests/test_pool.py
@@ -3,7 +3,10 @@
 import random
 import unittest
 
+import attrs
+
 import fakes
+from quetzalward_core import config
 from quetzalward_core import routing
 from quetzalward_core import testing
 from quetzalward_node.dispatch import _pool
@@ -83,6 +86,21 @@
         self.publish(as_of_ms=1, **by_target)  # type: ignore[arg-type]
         self.assertNotIn("g3", self.chosen(1))
 
+    def test_random_policy_uses_every_free_target(self) -> None:
+        # Guards the baseline of the experiments against a policy's help.
+        control = fakes.make_control(self.groups)
+        settings = attrs.evolve(
+            control.configuration, routing=config.Routing(policy="random")
+        )
+        changed = attrs.evolve(control, configuration=settings)
+        self.pool.apply_control(changed, 0)
+        usual = {"running": 1}
+        slow = {"running": 1, "token_ms": 90.0}
+        full = {"running": 16}
+        by_target = dict.fromkeys(self.names, usual) | {"g3": slow, "g4": full}
+        self.publish(as_of_ms=1, **by_target)  # type: ignore[arg-type]
+        self.assertEqual(self.chosen(1), set(self.names) - {"g4"})
+
     def test_straggler_serves_if_nothing_else_can(self) -> None:
         usual = {"running": 16}
         slow = {"running": 1, "token_ms": 90.0}
