Measurement of the slopes behind the capacity page

Cause: docs/CAPACITY.md may only use measured slopes. Change: python -m quetzalward_bench capacity: routing decision, plan, idle control work by targets, reading of other nodes' intents; three sizes each.

--- a/packages/bench/src/quetzalward_bench/__main__.py
+++ b/packages/bench/src/quetzalward_bench/__main__.py
@@ -7,6 +7,7 @@
 
 # Imported only when asked for, as some need a plotting library.
 MODULE_BY_NAME = {
+    "capacity": "quetzalward_bench.capacity",
     "coldstart": "quetzalward_bench._coldstart",
     "fold": "quetzalward_bench.fold",
     "formation": "quetzalward_bench.formation",
@@ -16,6 +17,8 @@
     "routing": "quetzalward_bench._routing",
     "zone": "quetzalward_bench.zone",
 }
+# These take their list of arguments and return an exit status.
+OWN_PARSER = frozenset({"formation", "membership"})
 
 
 def main() -> None:
@@ -25,6 +28,8 @@
         names = "|".join(sorted(MODULE_BY_NAME))
         sys.exit(f"usage: python -m quetzalward_bench {names} [OPTIONS]")
     module = importlib.import_module(MODULE_BY_NAME[name])
+    if name in OWN_PARSER:
+        sys.exit(module.main(sys.argv[2:]))
     fire.Fire(module.main, command=sys.argv[2:], name=name)
 
 
