Remove the stop orders that only tests used

Cause: the peers task keeps stop orders since it was wired in. Change: LocalStops is gone; its test uses plain mappings; docstrings for the lifecycle wrappers. Conclusion: less to read.

--- a/packages/node/src/quetzalward_node/_wiring.py
+++ b/packages/node/src/quetzalward_node/_wiring.py
@@ -32,9 +32,11 @@
     clock: clocks.Clock
 
     def start(self) -> None:
+        """Start the call streams."""
         self.calls.start()
 
     def stop(self) -> None:
+        """Append what is queued and stop."""
         self.calls.stop(self.clock.now_ms() + CALLS_FLUSH_MS)
 
 
@@ -46,10 +48,12 @@
     address: str
 
     def start(self) -> None:
+        """Bind the address and start."""
         self.peers.listen(self.address)
         self.peers.start()
 
     def stop(self) -> None:
+        """Stop the rounds and the server."""
         self.peers.stop()
 
 
@@ -63,10 +67,12 @@
         )
 
     def start(self) -> None:
+        """Bind the address and serve."""
         self._server.prepare()
         self._thread.start()
 
     def stop(self) -> None:
+        """Stop serving."""
         self._server.stop()
         self._thread.join()
 
@@ -78,6 +84,7 @@
         self.peers: interfaces.DispatcherQuery | None = None
 
     def ask(self, node: str, intent_id: str) -> interfaces.DispatcherAnswer:
+        """Ask as `DispatcherQuery`; unreachable before it is connected."""
         if self.peers is None:
             return interfaces.DispatcherAnswer.UNREACHABLE
         return self.peers.ask(node, intent_id)
--- a/packages/node/src/quetzalward_node/control/__init__.py
+++ b/packages/node/src/quetzalward_node/control/__init__.py
@@ -5,13 +5,11 @@
 from quetzalward_node.control._peers import PeerAdapter
 from quetzalward_node.control._registration import Registration
 from quetzalward_node.control._source import ControlViewSource
-from quetzalward_node.control._stops import LocalStops
 
 __all__ = [
     "ConfigurationHolder",
     "ControlViewSource",
     "DemandBoard",
-    "LocalStops",
     "PeerAdapter",
     "Registration",
 ]
--- a/packages/node/tests/test_control.py
+++ b/packages/node/tests/test_control.py
@@ -26,17 +26,18 @@
 
 class _Peers:
     def __init__(self) -> None:
-        self.stops = control.LocalStops()
+        self.basis_by_zone: dict[str, int] = {}
+        self.basis_by_target: dict[str, int] = {}
         self.isolated = False
 
     def freshness(self) -> interfaces.Freshness:
         return interfaces.Freshness(self.isolated, not self.isolated)
 
     def stopped_zones(self) -> dict[str, int]:
-        return self.stops.zones()
+        return self.basis_by_zone
 
     def stopped_targets(self) -> dict[str, int]:
-        return self.stops.targets()
+        return self.basis_by_target
 
 
 class _Fleet:
@@ -69,7 +70,7 @@
         self.assertIsNot(self.source.view(), first)
 
     def test_direct_stop_is_in_force_until_a_newer_bring_back(self) -> None:
-        self.peers.stops.stop_zone("zone-a", 0)
+        self.peers.basis_by_zone = {"zone-a": 0}
         self.assertEqual(self.source.view().zones_out, {"zone-a"})
         self.log.append([agreement.ZoneSet("zone-a", "out", 0, "ops")], 0)
         changed = self.log.state().zones_by_name["zone-a"].changed
@@ -80,7 +81,7 @@
         self.log.append([agreement.ZoneSet("zone-a", "out", 0, "ops")], 0)
         changed = self.log.state().zones_by_name["zone-a"].changed
         self.log.append([agreement.ZoneSet("zone-a", "in", changed, "ops")], 0)
-        self.peers.stops.stop_zone("zone-a", 0)
+        self.peers.basis_by_zone = {"zone-a": 0}
         self.assertEqual(self.source.view().zones_out, frozenset())
 
     def test_stop_on_the_bring_back_is_in_force(self) -> None:
@@ -88,7 +89,7 @@
         changed = self.log.state().zones_by_name["zone-a"].changed
         self.log.append([agreement.ZoneSet("zone-a", "in", changed, "ops")], 0)
         back = self.log.state().zones_by_name["zone-a"].changed
-        self.peers.stops.stop_zone("zone-a", back)
+        self.peers.basis_by_zone = {"zone-a": back}
         self.assertEqual(self.source.view().zones_out, {"zone-a"})
 
     def test_unreadable_revision_leaves_the_one_before_in_force(self) -> None:
