Shorter longest polling interval; polling figures

Cause: with 2 s between polls a trial saw a report 2.6 s old, close to the 3 s after which a target is out of use. The several-nodes test finds a removed hand-over delay, zone check and drain check.

--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -3,8 +3,6 @@
 import random
 import typing
 
-import attrs
-
 from quetzalward_core import clock
 from quetzalward_core import coldstart
 from quetzalward_core import config
@@ -17,15 +15,6 @@
 _SMOOTHING = 0.1
 
 
-@attrs.frozen
-class Choice:
-    """A target found for a request."""
-
-    target_id: str
-    url: str
-    zone: str
-
-
 class TargetPool:
     """Decides which target gets a request; holds no queue."""
 
@@ -121,13 +110,7 @@
 
     def base_model(self, name: str) -> str | None:
         """Return the model that serves a name, adapter or version."""
-        models = self._control.configuration.models
-        if name in models:
-            return name
-        for base, model in models.items():
-            if name in model.adapters or name in model.versions:
-                return base
-        return None
+        return _records.base_model(self._control.configuration, name)
 
     def has_group(self, model: str) -> bool:
         """Return whether the fold holds any group of a model."""
@@ -147,7 +130,7 @@
 
     def choose(
         self, request: interfaces.RouteRequest, now_ms: clock.Millis
-    ) -> Choice | None:
+    ) -> _records.Choice | None:
         """Return the target for a request, or `None` if none is free."""
         base = self.base_model(request.model)
         if base is None:
@@ -167,7 +150,7 @@
         if found is None:
             return None
         group = self._control.groups[found]
-        return Choice(found, self._view.urls[found], group.zone)
+        return _records.Choice(found, self._view.urls[found], group.zone)
 
     def _pick(
         self,
--- a/packages/node/src/quetzalward_node/dispatch/_records.py
+++ b/packages/node/src/quetzalward_node/dispatch/_records.py
@@ -1,12 +1,22 @@
-"""What a node learns of targets and models by its own requests."""
+"""Values of the target pool, and what it learns by its own requests."""
 
 import attrs
 
 from quetzalward_core import clock
 from quetzalward_core import coldstart
+from quetzalward_core import config
 from quetzalward_core import routing
 
 
+@attrs.frozen
+class Choice:
+    """A target found for a request."""
+
+    target_id: str
+    url: str
+    zone: str
+
+
 @attrs.define
 class Target:
     """This node's own knowledge of one target."""
@@ -28,3 +38,13 @@
     )
     service_ms: float = routing.CostParameters().service_ms
     first_token_ms: float = 0.0
+
+
+def base_model(configuration: config.Configuration, name: str) -> str | None:
+    """Return the model that serves a name, adapter or version."""
+    if name in configuration.models:
+        return name
+    for base, model in configuration.models.items():
+        if name in model.adapters or name in model.versions:
+            return base
+    return None
--- a/packages/node/src/quetzalward_node/dispatch/_state.py
+++ b/packages/node/src/quetzalward_node/dispatch/_state.py
@@ -13,6 +13,7 @@
 from quetzalward_core import routing
 from quetzalward_node.dispatch import _customers
 from quetzalward_node.dispatch import _pool
+from quetzalward_node.dispatch import _records
 from quetzalward_node import interfaces
 
 # Time a request thread has to send an attempt after its grant.
@@ -277,7 +278,7 @@
     def _open_grant(
         self,
         request: interfaces.RouteRequest,
-        choice: _pool.Choice,
+        choice: _records.Choice,
         now_ms: clock.Millis,
     ) -> interfaces.Grant:
         grant = interfaces.Grant(
--- a/packages/node/src/quetzalward_node/targets/_schedule.py
+++ b/packages/node/src/quetzalward_node/targets/_schedule.py
@@ -10,7 +10,7 @@
 # A poll takes about 1 ms of a core. The largest interval wins over the rate,
 # because reports must stay younger than 3 s.
 MAX_POLLS_PER_S = 10
-MAX_INTERVAL_MS = 2_000
+MAX_INTERVAL_MS = 1_800
 # Cache events only add to what a node knows from the prefixes it sends.
 EVENTS_INTERVAL_MS = 15_000
 MAX_BACKOFF_MS = 8_000
--- a/packages/node/tests/test_dispatch_cluster.py
+++ b/packages/node/tests/test_dispatch_cluster.py
@@ -167,15 +167,18 @@
         warm = routing.EngineState.WARM
         self.engine = warm if self.cold else routing.EngineState.COLD
 
-    @stateful.rule(name=st.sampled_from(NAMES), out=st.booleans())
-    def take_zone_out_or_in(self, name: str, out: bool) -> None:
-        zones = frozenset({"z1"}) if out else frozenset()
-        self.nodes[name].control.set(zones_out=zones)
-
     @stateful.rule(name=st.sampled_from(NAMES), draining=st.booleans())
-    def drain_or_not(self, name: str, draining: bool) -> None:
-        group = attrs.evolve(GROUP, draining=draining)
-        self.nodes[name].control.set(groups={"t1": group})
+    def submit_while_stopped(self, name: str, draining: bool) -> None:
+        """Take the zone out or drain the target for one request."""
+        control = self.nodes[name].control
+        before = control.current
+        if draining:
+            group = attrs.evolve(GROUP, draining=True)
+            control.set(groups={"t1": group})
+        else:
+            control.set(zones_out=frozenset({"z1"}))
+        self.submit(name)
+        control.current = before
 
     @stateful.rule(pick=st.integers(0, 100), count=st.integers(1, 8))
     def finish(self, pick: int, count: int) -> None:
@@ -201,5 +204,5 @@
 
 ClusterMachineTest: typing.Any = ClusterMachine.TestCase
 ClusterMachineTest.settings = hypothesis.settings(
-    derandomize=True, deadline=None, max_examples=200, stateful_step_count=40
+    derandomize=True, deadline=None, max_examples=400, stateful_step_count=50
 )
