--- a/packages/core/tests/test_agreement_control_fuzz.py
+++ b/packages/core/tests/test_agreement_control_fuzz.py
@@ -8,11 +8,13 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+import agreement_node
 import agreement_oracle
 import agreement_world
 from quetzalward_core import agreement
 
-LEASE = "zone/a"
+LEASE = agreement_node.LEASE
+DURATION_MS = agreement_node.DURATION_MS
 HOSTS = tuple(f"h{number}" for number in range(5))
 GROUPS = ("g1", "g2", "g3")
 EVENTS = sorted(
@@ -22,91 +24,10 @@
         for event in by_event
     }
 )
-# Clock rates that differ by less than the margin of 5%.
-RATES = (0.976, 1.0, 1.024)
-DURATION_MS = agreement.LEASE_DURATION_MS
 NODES = agreement_world.NODES
 FAULT = agreement_world.FAULT
 
 
-class SimNode:
-    """A node with a clock of its own; it may be cut off or paused."""
-
-    def __init__(
-        self,
-        world: agreement_world.World[agreement.ControlState],
-        number: int,
-        start: int,
-    ) -> None:
-        self.world = world
-        self.rate = RATES[number]
-        self.name = f"n{number}"
-        self.reader = agreement_world.Reader(world)
-        writer = agreement.writer_name(self.name, str(start))
-        self.writer = agreement_world.Writer(world, self.reader, writer)
-        self.cut = False
-        self.watch = agreement.LeaseWatch()
-        self.held: agreement.HeldLease | None = None
-        # Lease entries in flight: sequence number to append start.
-        self.started_ms_by_seq: dict[int, int] = {}
-        # Fencing tokens of orders that were checked and not yet sent.
-        self.checked: list[int] = []
-        self.revision = 0
-
-    def now_ms(self) -> int:
-        return int(self.world.time_ms * self.rate)
-
-    def lease(self) -> agreement.Lease | None:
-        return self.reader.fold.view().leases_by_resource.get(LEASE)
-
-    def submit(self, fault: str, *entries: agreement.Entry) -> int | None:
-        if self.cut:
-            return None
-        if self.writer.pending is not None and not self.world.out:
-            self.writer.attempt("none")
-            self.read(100)
-        seq = self.writer.submit(*entries)
-        self.writer.attempt(fault)
-        return seq
-
-    def read(self, limit: int) -> None:
-        if self.cut or self.world.out:
-            return
-        for result in self.writer.read(limit):
-            started_ms = self.started_ms_by_seq.pop(result.seq, None)
-            own = result.writer == self.writer.name and result.void is None
-            if own and started_ms is not None:
-                self.lease_result(result.results[0], started_ms)
-        self.observe()
-
-    def observe(self) -> None:
-        self.watch.observe(self.lease(), self.now_ms())
-        if self.held and not self.held.current(self.lease()):
-            self.held = None
-        revision = self.reader.fold.view().config_revision
-        assert revision >= self.revision, "configuration moved back"
-        self.revision = revision
-
-    def lease_result(
-        self, result: agreement.EntryResult, started_ms: int
-    ) -> None:
-        if not isinstance(result, agreement.Accepted):
-            return
-        if self.held is None:
-            self.held = agreement.HeldLease(
-                LEASE, result.position, DURATION_MS, started_ms, self.now_ms()
-            )
-        else:
-            self.held.renewed(started_ms)
-
-    def may_order(self) -> bool:
-        held = self.held
-        return held is not None and held.may_order(self.lease(), self.now_ms())
-
-    def loaded_snapshot(self) -> None:
-        self.observe()
-
-
 @attrs.frozen
 class Order:
     """An order that an engine took."""
@@ -126,8 +47,8 @@
         self.world.on_result.append(self.oracle.check)
         self.orders: list[Order] = []
 
-    def make_node(self, number: int, start: int) -> SimNode:
-        return SimNode(self.world, number, start)
+    def make_node(self, number: int, start: int) -> agreement_node.SimNode:
+        return agreement_node.SimNode(self.world, number, start)
 
     @stateful.rule(number=NODES)
     def advance_to_the_claim(self, number: int) -> None:
@@ -204,7 +125,7 @@
             self.submit_lease(node, fault, entry)
 
     def submit_lease(
-        self, node: SimNode, fault: str, entry: agreement.Entry
+        self, node: agreement_node.SimNode, fault: str, entry: agreement.Entry
     ) -> None:
         started_ms = node.now_ms()
         seq = node.submit(fault, entry)
--- a/packages/node/src/quetzalward_node/log/_appender.py
+++ b/packages/node/src/quetzalward_node/log/_appender.py
@@ -62,6 +62,8 @@
     data: str
     # An earlier attempt may have had an effect, so the batch stays as it is.
     uncertain: bool = False
+    # The log answered the last attempt with an offset, which was then read.
+    acknowledged: bool = False
 
 
 class Appender:
@@ -250,6 +252,8 @@
                 self._failing = False
                 self._resolve(batch)
                 return
+            if batch.acknowledged:
+                self._pause("acknowledged, but not on the log")
         with self._lock:
             for request in batch.requests:
                 self._end(request, None, _unknown("this node stops"))
@@ -257,6 +261,7 @@
     def _attempt(self, batch: _Batch) -> None:
         """Send a batch; return once its offset was read, or after a while."""
         self.append_count += 1
+        batch.acknowledged = False
         batch_id = f"{self.writer}:{batch.seq}"
         offset = self._store.append(self._reader.stream, batch_id, batch.data)
         # If it is not read back, the next attempt repeats the same batch.
@@ -266,13 +271,14 @@
                 lambda: self._reader.fold.next_offset > offset, _POLL_MS
             )
             if reached:
+                batch.acknowledged = True
                 return
 
     def _read_back(self, batch: _Batch) -> bool:
         with self._reader.changed:
             return self._reader.fold.writer_seq(self.writer) >= batch.seq
 
-    def _pause(self, error: Exception) -> None:
+    def _pause(self, error: Exception | str) -> None:
         """Wait before the next attempt, or until something was read."""
         self.failure_count += 1
         if not self._failing:
--- a/packages/node/tests/test_log_control.py
+++ b/packages/node/tests/test_log_control.py
@@ -110,6 +110,19 @@
         self.assertIsInstance(results[0], agreement.Accepted)
         self.assertEqual(control.state().accepted_count, 1)
 
+    def test_an_acknowledged_batch_that_is_not_there_is_repeated(self) -> None:
+        control = self.control()
+        append = self.log.append
+
+        def forget_one(stream: str, batch_id: str, data: str) -> int:
+            self.log.append = append  # type: ignore
+            return append(stream, batch_id, "lost")
+
+        self.log.append = forget_one  # type: ignore
+        results = control.append([zone_out("a")], self.deadline())
+        self.assertIsInstance(results[0], agreement.Accepted)
+        self.assertEqual(control.state().accepted_count, 1)
+
     def test_many_writers_at_once_lose_nothing(self) -> None:
         self.log.faults.extend(
             ["lost_answer", "rate", "lost_request", "lost_answer"] * 5
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -69,7 +69,10 @@
         text = path.read_text()
         if text.count(mutant["original"]) != 1:
             raise ValueError(f"{mutant['name']}: original not found once")
-        path.write_text(text.replace(mutant["original"], mutant["replaced"]))
+        mutated = text.replace(mutant["original"], mutant["replaced"])
+        # A fault that does not compile would be caught by any test.
+        compile(mutated, mutant["file"], "exec")
+        path.write_text(mutated)
         return not test_passes(folder, mutant["package"], mutant["test"])
 
 
