Experiments: streaming overhead and propagation of changes

Cause: the cost of a token through a node, the limit of one node and the time until a change is in force everywhere were not measured on real processes.

Change: `overhead` runs concurrent streams straight to the engines and through one node in turn; engines stamp each chunk with the shared monotonic clock when a request asks for it, so that the delay of a token is measured and not inferred from gaps.

--- a/packages/bench/src/quetzalward_bench/__main__.py
+++ b/packages/bench/src/quetzalward_bench/__main__.py
@@ -12,6 +12,8 @@
     "formation": "quetzalward_bench.formation",
     "limits": "quetzalward_bench._limits",
     "membership": "quetzalward_bench.membership",
+    "overhead": "quetzalward_bench.overhead",
+    "propagation": "quetzalward_bench.propagation",
     "retries": "quetzalward_bench._retries",
     "routing": "quetzalward_bench._routing",
     "zone": "quetzalward_bench.zone",
--- a/packages/bench/src/quetzalward_bench/_client.py
+++ b/packages/bench/src/quetzalward_bench/_client.py
@@ -24,6 +24,10 @@
     status: int = 0
     first_ms: float | None = None
     gaps_ms: list[float] = attrs.field(factory=list)
+    # From the engine's stamp to the caller, for each token.
+    delays_ms: list[float] = attrs.field(factory=list)
+    # When each token arrived.
+    arrived_s: list[float] = attrs.field(factory=list)
     tokens: int = 0
     whole: bool = False
     # A token that is not the next one of the caller's own answer.
@@ -86,8 +90,12 @@
             raise StreamBrokenError(str(document.get("kind")))
         for choice in document["choices"]:
             text = choice.get("delta", {}).get("content")
-            if text:
-                self._take_text(text, now_s)
+            if not text:
+                continue
+            self._take_text(text, now_s)
+            stamp = document.get("system_fingerprint")
+            if stamp:
+                self._record.delays_ms.append(now_s * 1000 - int(stamp) / 1e6)
 
     def _take_text(self, text: str, now_s: float) -> None:
         record = self._record
@@ -100,6 +108,7 @@
         else:
             record.gaps_ms.append((now_s - self._last_s) * 1000)
         self._last_s = now_s
+        record.arrived_s.append(now_s)
 
 
 async def draft(
--- a/packages/standins/src/quetzalward_standins/_openai.py
+++ b/packages/standins/src/quetzalward_standins/_openai.py
@@ -30,6 +30,8 @@
     prompt_tokens: int
     start: int
     sequence: _target.Sequence
+    # Whether chunks tell when they were made.
+    stamped: bool = False
 
 
 def parse_draft(
@@ -60,6 +62,7 @@
         prompt_tokens=max(1, len(prompt.split())),
         start=start,
         sequence=sequence,
+        stamped=bool(body.get("stamped")),
     )
 
 
@@ -166,10 +169,14 @@
     kind = "text_completion"
     if draft.chat:
         kind = "chat.completion" + (".chunk" if streamed else "")
-    return {
+    document = {
         "id": draft.sequence.request_id,
         "object": kind,
         "created": int(time.time()),
         "model": draft.model,
         "choices": [choice],
     }
+    if draft.stamped:
+        # A usual field that a node passes on unchanged.
+        document["system_fingerprint"] = str(time.monotonic_ns())
+    return document
--- a/packages/standins/src/quetzalward_standins/cluster.py
+++ b/packages/standins/src/quetzalward_standins/cluster.py
@@ -100,6 +100,7 @@
         self.pool = urllib3.PoolManager(maxsize=64)
         self._directory = tempfile.TemporaryDirectory(prefix="quetzalward-")
         self._processes: list[subprocess.Popen[bytes]] = []
+        self._standin_pids: dict[str, int] = {}
 
     def start(self) -> None:
         """Start everything and wait until every node is ready.
@@ -184,6 +185,10 @@
         """Return what a stand-in answers to a GET."""
         return self.pool.request("GET", self.standins[standin] + path).json()
 
+    def standin_pid(self, process: str) -> int:
+        """Return the id of the process `platform` or `engines`."""
+        return self._standin_pids[process]
+
     def description(self) -> dict[str, typing.Any]:
         """Return what the launcher prints."""
         names = ("engines", "log", "hosts", "weights", "service")
@@ -223,6 +228,7 @@
             start_new_session=True,
         )
         self._processes.append(process)
+        self._standin_pids[name] = process.pid
         assert process.stdin and process.stdout
         document = json.dumps(_faults.to_document(spec))
         process.stdin.write(document.encode() + b"\n")
