--- a/packages/bench/src/quetzalward_bench/zone.py
+++ b/packages/bench/src/quetzalward_bench/zone.py
@@ -27,6 +27,15 @@
 from quetzalward_standins import cluster
 
 POLICIES = ("cost", "random", "direct")
+# Configurations that were weighed against the usual one.
+CONFIGURATIONS: dict[str, dict[str, typing.Any]] = {
+    "cost": {},
+    "random": {"routing": {"policy": "random"}},
+    "direct": {},
+    "choices_1": {"routing": {"choices": 1}},
+    "choices_2": {"routing": {"choices": 2}},
+    "reports_300": {"engines": {"report_interval_ms": 300}},
+}
 ZONE = "zone-b"
 TOKENS = 60
 # Targets of the design: first token and gap between tokens.
@@ -85,7 +94,7 @@
         ),
         configuration={
             "customers": _schedule.customers_document(_schedule.CUSTOMERS),
-            "routing": {"policy": "cost" if policy == "direct" else policy},
+            **CONFIGURATIONS[policy],
         },
     )
 
@@ -387,6 +396,7 @@
     before_s: float = 15.0,
     away_s: float = 25.0,
     after_s: float = 25.0,
+    name: str = "zone",
 ) -> None:
     """Compare policies while a zone leaves and returns."""
     if isinstance(policies, str):
@@ -405,6 +415,8 @@
         document["violations"] += found["violations"]
         series[policy] = found["series"]
         _show(policy, found["figures"])
-    _results.write("zone", document, folder)
-    _zone_plot.draw(series, phases.bounds(), _results.path("zone.png", folder))
+    _results.write(name, document, folder)
+    _zone_plot.draw(
+        series, phases.bounds(), _results.path(f"{name}.png", folder)
+    )
     _results.finish(document["violations"])
