--- a/packages/core/tests/test_agreement_basics.py
+++ b/packages/core/tests/test_agreement_basics.py
@@ -190,6 +190,15 @@
         self.claim(renewed, "n2#a")
         self.assertEqual(self.reasons(renewal), ["stale_lease"])
 
+    def test_an_old_claim_of_the_same_holder_is_lost(self) -> None:
+        old = self.claim(0)
+        self.claim(old)
+        renewal = agreement.LeaseRenewed("zone/a", "n1#a", old)
+        release = agreement.LeaseReleased("zone/a", "n1#a", old)
+        self.assertEqual(
+            self.reasons(renewal, release), ["stale_lease", "stale_lease"]
+        )
+
     def test_group_rules(self) -> None:
         host = agreement.GroupHost
         epoch = self.claim(0)
@@ -311,6 +320,13 @@
         self.assertEqual(self.reason(self.intent(1)), "abandoned")
         self.assertIsNone(self.reason(self.intent(2)))
 
+    def test_an_unknown_key_is_not_claimed_again(self) -> None:
+        self.reason(self.intent(1))
+        self.reason(agreement.CallUnknown("n1#a/1", "c", "k"))
+        self.assertEqual(
+            self.reason(self.intent(1, "n2#a"), "n2#a"), "key_taken"
+        )
+
     def test_results_replace_unknown_but_not_results(self) -> None:
         self.reason(self.intent(1))
         unknown = agreement.CallUnknown("n1#a/1", "c", "k")
@@ -336,6 +352,23 @@
         self.log.raw("")
         self.assertIsNone(self.state.lookup("c", "k"))
 
+    def test_a_log_clock_that_steps_back_shortens_no_retention(self) -> None:
+        self.log.time_ms = 5_000
+        self.log.raw("")
+        self.log.time_ms = 0
+        self.reason(self.intent(1))
+        self.log.time_ms = 5_000 + RETENTION_MS
+        self.log.raw("")
+        self.assertIsNotNone(self.state.lookup("c", "k"))
+
+    def test_a_result_of_another_intent_is_void(self) -> None:
+        self.reason(self.intent(1))
+        other = agreement.CallResult("n1#a/2", "c", "k", 201, "t", None)
+        self.assertEqual(self.reason(other), "wrong_intent")
+        known = self.state.lookup("c", "k")
+        assert known is not None
+        self.assertIs(known.state, agreement.KeyState.OPEN)
+
     def test_bytes_round_trip(self) -> None:
         self.reason(self.intent(1))
         self.reason(agreement.CallAbandoned("n1#a/9", "c", "other"))
