Do not send on an expired grant

Cause: a grant names the time until which its checks of zone, drain and slot hold, but the callers' side did not look at it, so a pause between grant and send could bring new work to a zone that was taken out (R4) or exceed a cold target's slots (R3). Change: drafts and service calls check the grant directly before sending and count as not sent if it has expired. Figures: three tests fail without the check and pass with it.

--- a/packages/node/src/quetzalward_node/callers/_engine.py
+++ b/packages/node/src/quetzalward_node/callers/_engine.py
@@ -159,7 +159,22 @@
         self.interruption.attach(connection.sock)
         return connection
 
+    def _check_grant(self) -> None:
+        """Refuse to send on a grant whose checks no longer hold.
+
+        A pause of the process between grant and send could otherwise bring
+        new work to a zone that was taken out meanwhile.
+        """
+        if self.grant.expired(self.clock.now_ms()):
+            error = errors.QuetzalwardError(
+                errors.ErrorKind.OVERLOADED, "the grant expired before use"
+            )
+            raise AttemptFailedError(
+                interfaces.AttemptResult.CANCELLED, error, sent=False
+            )
+
     def _send(self, connection: _targets.TargetConnection) -> int:
+        self._check_grant()
         self.sent = True
         try:
             response = connection.send(
--- a/packages/node/src/quetzalward_node/callers/_service_attempt.py
+++ b/packages/node/src/quetzalward_node/callers/_service_attempt.py
@@ -120,6 +120,7 @@
         """
         connection = self._open()
         exchange = self.request.exchange
+        self._check_grant()
         self.sent = True
         try:
             response = connection.send(
@@ -177,6 +178,14 @@
             if self._connection is not None:
                 self.parts.connections.give_back(self._connection)
 
+    def _check_grant(self) -> None:
+        """Refuse to send on a grant whose checks no longer hold."""
+        if self.grant.expired(self.parts.clock.now_ms()):
+            error = errors.QuetzalwardError(
+                errors.ErrorKind.OVERLOADED, "the grant expired before use"
+            )
+            raise CallFailedError(error, sent=False)
+
     def _open(self) -> _targets.TargetConnection:
         try:
             # On a kept connection a failure to send would leave open whether
--- a/packages/node/src/quetzalward_node/interfaces.py
+++ b/packages/node/src/quetzalward_node/interfaces.py
@@ -54,6 +54,10 @@
     # checks behind it (zone, drain, cold-start slot) hold no longer.
     expires_ms: clock.Millis | None = None
 
+    def expired(self, now_ms: clock.Millis) -> bool:
+        """Tell whether it is too late to send the attempt."""
+        return self.expires_ms is not None and now_ms > self.expires_ms
+
 
 class AttemptResult(enum.StrEnum):
     """How an attempt ended, as evidence about its target."""
--- a/packages/node/tests/callers_fakes.py
+++ b/packages/node/tests/callers_fakes.py
@@ -68,6 +68,8 @@
         self.urls = urls
         self.retries = retries
         self.error: errors.QuetzalwardError | None = None
+        # How many of the next grants have expired when they are given.
+        self.expire_next = 0
         self.changed = threading.Condition()
         self.requests: list[interfaces.RouteRequest] = []
         self.granted: list[interfaces.Grant] = []
@@ -103,6 +105,9 @@
                 grant = interfaces.Grant(
                     len(self.granted), request_id, target, url, "z1", attempt
                 )
+                if self.expire_next:
+                    self.expire_next -= 1
+                    grant = attrs.evolve(grant, expires_ms=0)
                 self.granted.append(grant)
                 return grant
         raise errors.QuetzalwardError(errors.ErrorKind.NO_TARGET, "none left")
--- a/packages/node/tests/test_callers_services.py
+++ b/packages/node/tests/test_callers_services.py
@@ -396,3 +396,18 @@
         ):
             found = _hops.is_repeatable(service, method, path)
             self.assertEqual(expected, found, path)
+
+
+class ExpiredGrantTest(ServiceTestCase):
+    """Guards against a call sent after a pause, when its checks are void."""
+
+    def test_keyed_call_did_not_run_and_its_key_is_free(self):
+        self.start(callers_fakes.Service())
+        self.front.router.expire_next = 10
+        called = self.call("POST", "/bookings", b"{}", key="k1")
+        self.assert_problem("overloaded", "not_run", called)
+        self.assertEqual([0], self.runs())
+        self.front.router.expire_next = 0
+        status, _, _ = self.call("POST", "/bookings", b"{}", key="k1")
+        self.assertEqual(200, status)
+        self.assertEqual([1], self.runs())
--- a/packages/node/tests/test_callers_streams.py
+++ b/packages/node/tests/test_callers_streams.py
@@ -29,6 +29,27 @@
         self.assertEqual(["/h/host-1/v1/completions"] * 2, paths)
 
 
+class ExpiredGrantTest(callers_cases.StreamTestCase):
+    """Guards against new work to a zone taken out during a pause (R4)."""
+
+    def test_expired_grant_sends_nothing(self):
+        first, second = callers_fakes.Engine(), callers_fakes.Engine()
+        self.start(first, second)
+        self.front.router.expire_next = 1
+        events = self.events()
+        self.assertEqual(callers_fakes.text(PROMPT, TOTAL), text_of(events))
+        self.assertEqual((0, 1), (len(first.requests), len(second.requests)))
+        self.assertTrue(self.front.router.wait_balanced())
+
+    def test_without_another_target_it_did_not_run(self):
+        engine = callers_fakes.Engine()
+        self.start(engine)
+        self.front.router.expire_next = 1
+        problem = self.assert_problem("overloaded", document())
+        self.assertEqual("not_run", problem["outcome"])
+        self.assertEqual([], engine.requests)
+
+
 class FailoverTest(callers_cases.StreamTestCase):
     """Guards against lost, repeated or foreign tokens after a failure."""
 
