--- /dev/null
+++ b/packages/bench/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Functional tests on real node processes and the stand-ins."""
