--- a/packages/bench/tests/functional/test_bookings.py
+++ b/packages/bench/tests/functional/test_bookings.py
@@ -1,5 +1,6 @@
 """Bookings with a key under faults of the log, the service and nodes."""
 
+import collections
 import random
 import threading
 import time
@@ -13,6 +14,34 @@
 
 SEED = 7
 CALL_STREAMS = 2
+NO_LOG_FAULTS: dict[str, typing.Any] = {
+    "outage": False,
+    "slow_ms": 0,
+    "lose_appends": 0,
+    "lose_probability": 0,
+}
+NO_SERVICE_FAULTS: dict[str, typing.Any] = {
+    "outage": False,
+    "before_ms": 0,
+    "after_ms": 0,
+    "lose_answers": 0,
+    "lose_probability": 0,
+}
+LOG_FAULTS: list[dict[str, typing.Any]] = [
+    {},
+    {"outage": True},
+    {"lose_probability": 0.3},
+    {"lose_probability": 0.6, "slow_ms": 100},
+    {"slow_ms": 300},
+]
+# Longer than a call's deadline: 4,000 ms.
+SERVICE_FAULTS: list[dict[str, typing.Any]] = [
+    {"lose_probability": 0.3},
+    {"before_ms": 1_000},
+    {"after_ms": 1_000, "lose_probability": 0.2},
+    {"before_ms": 4_000},
+    {"outage": True},
+]
 
 
 def key_stream(key: str) -> str:
@@ -53,18 +82,8 @@
         support.wait_for(books, f"{node.name} books on {stream}")
 
     def clear_faults(self) -> None:
-        running = self.running
-        running.inject(
-            "log", outage=False, slow_ms=0, lose_appends=0, lose_probability=0
-        )
-        running.inject(
-            "service",
-            outage=False,
-            before_ms=0,
-            after_ms=0,
-            lose_answers=0,
-            lose_probability=0,
-        )
+        self.running.inject("log", **NO_LOG_FAULTS)
+        self.running.inject("service", **NO_SERVICE_FAULTS)
 
     def intents(self, key: str) -> int:
         """Return how many intents for a key are on the log."""
@@ -257,40 +276,33 @@
         for booker in bookers:
             calls.start(lambda booker=booker: booker.run(stopped))
         draw = random.Random(SEED)
-        for _ in range(10):
-            self.change_faults(draw)
+        log_faults = LOG_FAULTS * 2
+        service_faults = SERVICE_FAULTS * 2
+        draw.shuffle(log_faults)
+        draw.shuffle(service_faults)
+        for log, service in zip(log_faults, service_faults, strict=True):
+            self.running.inject("log", **NO_LOG_FAULTS | log)
+            self.running.inject("service", **NO_SERVICE_FAULTS | service)
+            self.kill_one(draw)
             time.sleep(1.5)
         self.clear_faults()
         stopped.set()
         calls.join()
         # Effects that the service still delays come within its delays.
-        time.sleep(2)
+        time.sleep(6)
         answers_by_key: dict[str, list[support.Answer]] = {}
         for booker in bookers:
             answers_by_key |= booker.answers_by_key
         self.check(answers_by_key, self.executions())
 
-    def change_faults(self, draw: random.Random) -> None:
-        running = self.running
-        running.inject(
-            "log",
-            outage=draw.random() < 0.25,
-            lose_probability=draw.choice([0, 0.3, 0.6]),
-            slow_ms=draw.choice([0, 0, 200]),
-        )
-        running.inject(
-            "service",
-            outage=draw.random() < 0.15,
-            before_ms=draw.choice([0, 0, 100, 1_000]),
-            after_ms=draw.choice([0, 0, 100, 4_000]),
-            lose_probability=draw.choice([0, 0.2]),
-        )
-        node = draw.choice(running.nodes)
+    def kill_one(self, draw: random.Random) -> None:
+        """Kill one node, and start those that were killed before."""
+        node = draw.choice(self.running.nodes)
         if node.running:
             self.kill(node)
-        for other in running.nodes:
+        for other in self.running.nodes:
             if other is not node and not other.running:
-                running.start_node(other)
+                self.running.start_node(other)
 
     def check(
         self,
@@ -308,6 +320,11 @@
             elif all(answer.outcome == "not_run" for answer in answers):
                 refused += 1
                 self.assertEqual(0, count, (key, answers))
-        print(f"{booked} booked, {refused} refused as not run")
+        seen = collections.Counter(
+            (answer.status, answer.kind, answer.outcome)
+            for answers in answers_by_key.values()
+            for answer in answers
+        )
+        print(f"{booked} booked, {refused} refused as not run; {seen}")
         self.assertGreater(booked, 0)
         self.assertGreater(refused, 0)
