--- a/Makefile
+++ b/Makefile
@@ -35,11 +35,13 @@
 
 test: lint unit
 
-# The generated code is committed; run this after a change of a .proto file.
+# Generated code and pages are committed; run this after a change of a .proto
+# file or of the table of error kinds.
 generate: install
 	$(PY) -m grpc_tools.protoc -I packages/wire/src \
 	  --python_out=packages/wire/src --pyi_out=packages/wire/src \
 	  packages/wire/src/quetzalward_wire/peer.proto
+	$(PY) tools/error_kinds.py > docs/error-kinds.md
 
 demo: install
 	$(PY) -m quetzalward_standins demo
