Tell operators what a failed command means

Cause: an order for an unknown zone or target ended with status 4 and 'a repeat never runs it again'; a lost answer of bring-back, undrain, node drain or trace gave a traceback; an unknown configuration key was reported under the first file that had its section instead of its own file. Change: a refusal that all nodes give is reported as that refusal; lost answers and refused connections are reported with status 4; remedies for operators; one problem for each unknown key, with the key in the path.

--- a/packages/cli/src/quetzalward_cli/_stop.py
+++ b/packages/cli/src/quetzalward_cli/_stop.py
@@ -20,8 +20,13 @@
 def send_to_all(
     client: _client.OperatorClient, path: str, body: typing.Any
 ) -> Delivery:
-    """Send one order to every node; each applies it on first sight."""
+    """Send one order to every node; each applies it on first sight.
+
+    Raises `QuetzalwardError` if every node refuses it for the same reason,
+    such as an unknown name or token.
+    """
     confirmed, failed, causes = [], [], []
+    refusals: list[errors.QuetzalwardError] = []
     for node in _operator_urls(client):
         try:
             client.request_at(node, "POST", path, body)
@@ -29,9 +34,20 @@
         except (OSError, _client.LostAnswer, errors.QuetzalwardError) as error:
             failed.append(node)
             causes.append(f"{node}: {error}")
+            if isinstance(error, errors.QuetzalwardError):
+                refusals.append(error)
+    if not confirmed and len(refusals) == len(failed):
+        _raise_common(refusals)
     return Delivery(tuple(confirmed), tuple(failed), tuple(causes))
 
 
+def _raise_common(refusals: list[errors.QuetzalwardError]) -> None:
+    """Raise the refusal that all nodes gave, if it says "not run"."""
+    kinds = {error.kind for error in refusals}
+    if len(kinds) == 1 and refusals[0].outcome is errors.Outcome.NOT_RUN:
+        raise refusals[0]
+
+
 def _operator_urls(client: _client.OperatorClient) -> list[str]:
     urls = dict.fromkeys(client.nodes)
     try:
--- a/packages/cli/src/quetzalward_cli/cli.py
+++ b/packages/cli/src/quetzalward_cli/cli.py
@@ -5,6 +5,7 @@
 
 import fire
 
+from quetzalward_cli import _client
 from quetzalward_cli import _output
 from quetzalward_cli import commands
 from quetzalward_core import errors
@@ -21,11 +22,30 @@
 }
 
 
+# The table's remedies are for callers of the nodes. Every command may be
+# repeated: a repeated order or publication changes nothing further.
+_REMEDY_BY_KIND = {
+    errors.ErrorKind.OUTCOME_UNKNOWN: (
+        "Look at `quetzalward status` and repeat the command; that is safe."
+    ),
+    errors.ErrorKind.LOG_UNAVAILABLE: (
+        "Check the nodes' addresses, the nodes and the log; then repeat."
+    ),
+}
+
+
 def _explicit_flags(arguments: typing.Sequence[str]) -> list[str]:
     # fire takes the word after a bare flag as the flag's value.
     return ["--json=True" if a == "--json" else a for a in arguments]
 
 
+def _explain(error: errors.QuetzalwardError) -> int:
+    """Print an error with its remedy and return the exit status."""
+    remedy = _REMEDY_BY_KIND.get(error.kind, error.answer.remedy)
+    print(f"error: {error}\n  {remedy}", file=sys.stderr)
+    return EXIT_BY_KIND.get(error.kind, EXIT_FAILED)
+
+
 def main(arguments: typing.Sequence[str] | None = None) -> None:
     """Run one command and exit with its documented status."""
     given = sys.argv[1:] if arguments is None else arguments
@@ -37,9 +57,10 @@
             serialize=_output.serialize,
         )
     except errors.QuetzalwardError as error:
-        print(f"error: {error}", file=sys.stderr)
-        print(f"  {error.answer.remedy}", file=sys.stderr)
-        sys.exit(EXIT_BY_KIND.get(error.kind, EXIT_FAILED))
+        sys.exit(_explain(error))
+    except (_client.LostAnswer, OSError) as error:
+        kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        sys.exit(_explain(errors.QuetzalwardError(kind, str(error))))
     except KeyboardInterrupt:
         print("error: interrupted", file=sys.stderr)
         sys.exit(EXIT_FAILED)
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -238,6 +238,24 @@
         self.assertEqual(status, 4)
         self.assertIn(gone.url, err)
 
+    def test_refusal_by_every_node_is_no_unknown_outcome(self) -> None:
+        problem = {"kind": "not_found", "detail": "zone 'x' is not declared"}
+        node = self.start_node(lambda *args: (404, problem))
+        status, _, err = self.run_command(
+            "zone", "take-out", "x", node=node.url
+        )
+        self.assertEqual(status, 1)
+        self.assertIn("error: not_found: zone 'x' is not declared", err)
+
+    def test_lost_answer_is_told_without_a_traceback(self) -> None:
+        node = self.start_node(lambda *args: None)
+        status, _, err = self.run_command(
+            "zone", "bring-back", "zone-a", node=node.url
+        )
+        self.assertEqual(status, 4)
+        self.assertIn("error: outcome_unknown: ", err)
+        self.assertIn("repeat the command", err)
+
     def test_rejected_token_has_its_own_exit_code(self) -> None:
         problem = {"kind": "unauthenticated", "detail": "unknown token"}
         node = self.start_node(lambda *args: (401, problem))
--- a/packages/core/src/quetzalward_core/config/_codec.py
+++ b/packages/core/src/quetzalward_core/config/_codec.py
@@ -1,5 +1,6 @@
 """Conversion between JSON documents and the configuration model."""
 
+import json
 import math
 import re
 import typing
@@ -12,6 +13,8 @@
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 _TYPE_NAMES = {int: "an integer", float: "a number", str: "a string"}
+# Marks a JSON list of unknown keys in the text of an error.
+_UNKNOWN_KEYS = "unknown keys "
 _STEP = re.compile(r"\.([^.\[\]]+)|\[('?)(.*?)\2\]")
 
 
@@ -52,19 +55,23 @@
         return f"{'.'.join(self.path) or '(top level)'}: {self.cause}"
 
 
-def _problem(message: str) -> Problem:
+def _problems(message: str) -> list[Problem]:
+    """Return the problems of one line of cattrs; one for each unknown key."""
     cause, _, where = message.rpartition(" @ ")
     if not cause:
         cause, where = where, "$"
     steps = [a or c for a, _, c in _STEP.findall(where.removeprefix("$"))]
-    return Problem(tuple(steps), cause)
+    if not cause.startswith(_UNKNOWN_KEYS):
+        return [Problem(tuple(steps), cause)]
+    keys = json.loads(cause.removeprefix(_UNKNOWN_KEYS))
+    # With the key in the path, its own file is named as the origin.
+    return [Problem((*steps, key), f"unknown key {key!r}") for key in keys]
 
 
 def _describe(error: BaseException, kind: type | None) -> str:
     del kind
     if isinstance(error, cattrs.ForbiddenExtraKeysError):
-        names = ", ".join(sorted(map(repr, error.extra_fields)))
-        return f"unknown key {names}"
+        return _UNKNOWN_KEYS + json.dumps(sorted(error.extra_fields))
     if isinstance(error, KeyError):
         return f"required key {error.args[0]!r} is missing"
     if isinstance(error, AttributeError):
@@ -80,7 +87,7 @@
         return _CONVERTER.structure(document, _model.Configuration), []
     except cattrs.BaseValidationError as error:
         lines = cattrs.transform_error(error, format_exception=_describe)
-        return None, [_problem(line) for line in lines]
+        return None, [one for line in lines for one in _problems(line)]
     except (ValueError, TypeError, AttributeError, RecursionError) as error:
         return None, [Problem((), str(error))]
 
--- a/packages/core/tests/test_config.py
+++ b/packages/core/tests/test_config.py
@@ -128,6 +128,20 @@
         (line,) = self._lines({"models": {"draft": {"replicas": "3"}}})
         self.assertTrue(line.startswith("50-override.json: "), line)
 
+    def test_file_of_each_unknown_key_is_named(self) -> None:
+        patch = {"limits": {"max_queue": 1, "a @ b": 2, "max_queue_ms": 3}}
+        files = [
+            _file("10-base.json", {"limits": {"max_streams": 9}}),
+            _file("50-override.json", patch),
+        ]
+        self.assertEqual(
+            config.check_files(files)[1],
+            [
+                "50-override.json: limits.a @ b: unknown key 'a @ b'",
+                "50-override.json: limits.max_queue: unknown key 'max_queue'",
+            ],
+        )
+
     @hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
     @hypothesis.given(_JSON)
     def test_hostile_document_gives_problems_only(self, value: object) -> None:
