Show stop orders that are not on the log yet, and end them properly

Cause: in a log outage a zone taken out was listed as 'in', status showed no zone out, and bring-back answered 'zone-c is in' with status 0 while the order stayed in force and reached the log later (seen on a cluster of three nodes). Change: zones, status and groups show what is in force on the node; bring-back and undrain append their record whenever an order is in force, and fail as log_unavailable while the log is down.

--- a/packages/node/src/quetzalward_node/_wiring.py
+++ b/packages/node/src/quetzalward_node/_wiring.py
@@ -223,6 +223,12 @@
             stop_orders=self._adapter,
             pending=self._pending,
             time=self._clock,
+            zones_out=lambda: control.zones_out(
+                self._control.state(), self._adapter.stopped_zones()
+            ),
+            targets_draining=lambda: control.targets_draining(
+                self._control.state(), self._adapter.stopped_targets()
+            ),
             targets=self._target_rows,
             not_ready=self._not_ready,
             drain=self._context.lifecycle.stop_requested.set,
--- a/packages/node/src/quetzalward_node/control/__init__.py
+++ b/packages/node/src/quetzalward_node/control/__init__.py
@@ -5,6 +5,8 @@
 from quetzalward_node.control._peers import PeerAdapter
 from quetzalward_node.control._registration import Registration
 from quetzalward_node.control._source import ControlViewSource
+from quetzalward_node.control._source import targets_draining
+from quetzalward_node.control._source import zones_out
 
 __all__ = [
     "ConfigurationHolder",
@@ -12,4 +14,6 @@
     "DemandBoard",
     "PeerAdapter",
     "Registration",
+    "targets_draining",
+    "zones_out",
 ]
--- a/packages/node/src/quetzalward_node/operators/_api.py
+++ b/packages/node/src/quetzalward_node/operators/_api.py
@@ -41,6 +41,9 @@
     stop_orders: interfaces.StopOrders
     pending: _pending.PendingStops
     time: clock.Clock
+    # What is stopped here, on the log or by a direct order.
+    zones_out: typing.Callable[[], frozenset[str]]
+    targets_draining: typing.Callable[[], frozenset[str]]
     # Rows about the targets as this node sees them, by target id.
     targets: typing.Callable[[], dict[str, Json]]
     not_ready: typing.Callable[[], list[str]]
@@ -103,11 +106,11 @@
         return {"nodes": rows}
 
     def zones(self) -> Json:
-        """Return every declared zone and its state on the log."""
-        state = self.control.state()
+        """Return every declared zone and its state in force here."""
+        out = self.zones_out()
         rows = []
         for name, zone in sorted(self.configuration().zones.items()):
-            value = "out" if state.zone_out(name) else "in"
+            value = "out" if name in out else "in"
             rows.append({"zone": name, "region": zone.region, "state": value})
         return {"zones": rows}
 
@@ -126,7 +129,8 @@
         if value == "out":
             self.stop_orders.stop_zone(zone, basis)
             return {"on_log": self.pending.submit(entry)}
-        if known is None or known.state != "out":
+        # A direct order may be in force that is not on the log yet.
+        if zone not in self.zones_out():
             return {"on_log": True}
         return self._start(entry, f"zone {zone!r}")
 
@@ -144,7 +148,7 @@
         if draining:
             self.stop_orders.stop_target(target, basis)
             return {"on_log": self.pending.submit(entry)}
-        if known is None or not known.draining:
+        if target not in self.targets_draining():
             return {"on_log": True}
         return self._start(entry, f"target {target!r}")
 
@@ -168,8 +172,8 @@
                 errors.ErrorKind.NOT_FOUND, f"no group is named {group_id!r}"
             )
         row = self._group_row(group)
-        row["zone_out"] = state.zone_out(group.zone)
-        row["draining"] = state.draining(group_id)
+        row["zone_out"] = group.zone in self.zones_out()
+        row["draining"] = group_id in self.targets_draining()
         row["epoch"] = group.epoch
         row.update(self.targets().get(group_id, {}))
         return row
@@ -187,9 +191,7 @@
             "nodes": len(state.nodes_by_name),
             "groups": len(groups),
             "groups_serving": serving,
-            "zones_out": sorted(
-                name for name in state.zones_by_name if state.zone_out(name)
-            ),
+            "zones_out": sorted(self.zones_out()),
             "log_age_ms": self.control.head_age_ms(),
             "stops_waiting_for_log": self.pending.count(),
         }
--- a/packages/node/tests/test_operators.py
+++ b/packages/node/tests/test_operators.py
@@ -12,6 +12,7 @@
 from quetzalward_core import clock
 from quetzalward_core import config
 from quetzalward_core import testing
+from quetzalward_node import control
 from quetzalward_node import operators
 
 BOOTSTRAP_TOKEN = "bootstrap-token"
@@ -32,6 +33,9 @@
     def stop_target(self, target: str, basis: int) -> None:
         self.given.append(("target", target, basis))
 
+    def basis_by_name(self, kind: str) -> dict[str, int]:
+        return {name: basis for k, name, basis in self.given if k == kind}
+
 
 class OperatorsTest(unittest.TestCase):
     """Runs the real server on a free port over a fold without network."""
@@ -49,6 +53,12 @@
             stop_orders=self.stop_orders,
             pending=self.pending,
             time=clock.SystemClock(),
+            zones_out=lambda: control.zones_out(
+                self.log.state(), self.stop_orders.basis_by_name("zone")
+            ),
+            targets_draining=lambda: control.targets_draining(
+                self.log.state(), self.stop_orders.basis_by_name("target")
+            ),
             targets=dict,
             not_ready=lambda: self.reasons,
             drain=self._drain,
@@ -173,6 +183,35 @@
         self.assertEqual(self.call("POST", path, {"state": "in"})[0], 200)
         self.assertFalse(self.log.state().zone_out("zone-a"))
 
+    def test_direct_take_out_is_shown_and_needs_a_bring_back(self) -> None:
+        # Guards against "in" for a zone that gets no work, and against a
+        # bring-back that reports success and leaves the stop order in force.
+        self.publish(0, BOOTSTRAP_TOKEN)
+        path = "/operators/v1/zones/zone-a"
+        self.log.available = False
+        self.call("POST", path, {"state": "out"})
+        rows = self.call("GET", "/operators/v1/zones")[1]["zones"]
+        states = {row["zone"]: row["state"] for row in rows}
+        self.assertEqual(states["zone-a"], "out")
+        status = self.call("GET", "/operators/v1/status")[1]
+        self.assertEqual(status["zones_out"], ["zone-a"])
+        code, value = self.call("POST", path, {"state": "in"})
+        self.assertEqual((code, value["kind"]), (503, "log_unavailable"))
+        self.log.available = True
+        self.assertEqual(self.call("POST", path, {"state": "in"})[0], 200)
+        status = self.call("GET", "/operators/v1/status")[1]
+        self.assertEqual(status["zones_out"], [])
+        # The order that waited for the log is older than the bring-back.
+        self.pending.start()
+        self.addCleanup(self.pending.stop)
+        wait = threading.Event()
+        for _ in range(500):
+            if self.pending.count() == 0:
+                break
+            wait.wait(0.02)
+        self.assertEqual(self.pending.count(), 0)
+        self.assertFalse(self.log.state().zone_out("zone-a"))
+
     def test_a_stop_given_on_an_older_basis_is_not_appended(self) -> None:
         stop = agreement.ZoneSet("zone-a", "out", 0, "ops")
         self.log.append([stop], 0)
