Name the title of result_not_kept for every cause

Cause: a call that the service's status call resolves as run was told that its answer was too large to keep.

--- a/packages/core/src/quetzalward_core/errors.py
+++ b/packages/core/src/quetzalward_core/errors.py
@@ -184,7 +184,7 @@
     ),
     ErrorKind.RESULT_NOT_KEPT: Answer(
         409,
-        "The call ran; its answer was too large to keep",
+        "The call ran; its answer was not kept",
         False,
         Outcome.RAN,
         "Read the result from the service.",
