--- a/packages/bench/src/quetzalward_bench/membership.py
+++ b/packages/bench/src/quetzalward_bench/membership.py
@@ -82,9 +82,11 @@
     parser = argparse.ArgumentParser(prog="quetzalward_bench membership")
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--no-nodes", action="store_true")
+    parser.add_argument("--no-replays", action="store_true")
     options = parser.parse_args(arguments)
     sizes = QUICK_SIZES if options.quick else SIZES
-    _print_replays(sizes)
+    if not options.no_replays:
+        _print_replays(sizes)
     if options.no_nodes:
         return 0
     return 0 if _print_nodes(sizes) else 1
