Let a warm target hold a short queue before it counts as full

Cause: with two of three zones left (about 85% load) requests waited in the nodes while engines had free places. A target whose report shows no free place got nothing from any node until its next report, 0.3 to 2 s later, although its requests ended meanwhile.

Change: a warm target counts as full at its capacity and a quarter of it more. Cold targets keep their slots without a queue.

--- a/packages/bench/src/quetzalward_bench/__main__.py
+++ b/packages/bench/src/quetzalward_bench/__main__.py
@@ -17,6 +17,7 @@
     "propagation": "quetzalward_bench.propagation",
     "retries": "quetzalward_bench._retries",
     "routing": "quetzalward_bench._routing",
+    "weighted": "quetzalward_bench.weighted",
     "zone": "quetzalward_bench.zone",
 }
 # These take their list of arguments and return an exit status.
--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -14,6 +14,10 @@
 
 # Requests waiting at a target that names no capacity before it counts as full.
 MAX_WAITING = 4
+# Requests above a warm target's capacity, as a share of it, before it counts
+# as full. Reports are up to 2 s old; without a short queue at the target,
+# places that became free since stay empty until the next report.
+QUEUE_SHARE = 0.25
 _SMOOTHING = 0.1
 
 
@@ -294,7 +298,8 @@
         """Return whether a warm target would make the request wait long."""
         if report.bearable is not None:
             load = self._load(target_id, float(report.load), now_ms)
-            return load >= report.bearable
+            queue = int(report.bearable * QUEUE_SHARE)
+            return load >= report.bearable + queue
         tracker = self._target(target_id).tracker
         change = tracker.change_since(report.as_of_ms)
         return report.waiting > 0 and report.waiting + change >= MAX_WAITING
