--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -3,8 +3,6 @@
 import random
 import typing
 
-import attrs
-
 from quetzalward_core import clock
 from quetzalward_core import coldstart
 from quetzalward_core import config
@@ -21,15 +19,6 @@
 _SMOOTHING = 0.1
 
 
-@attrs.frozen
-class Choice:
-    """A target found for a request."""
-
-    target_id: str
-    url: str
-    zone: str
-
-
 class TargetPool:
     """Decides which target gets a request; holds no queue."""
 
@@ -49,6 +38,7 @@
         self._view = interfaces.TargetsView()
         self._targets: dict[str, _records.Target] = {}
         self._models: dict[str, _records.Model] = {}
+        self._presence_by_target: dict[str, _records.KnownPresence] = {}
         settings = control.configuration
         self._slots = coldstart.SlotTable(
             node,
@@ -72,6 +62,8 @@
         for target_id in set(self._targets) - set(control.groups):
             if not self._targets[target_id].tracker.in_flight:
                 del self._targets[target_id]
+        for target_id in set(self._presence_by_target) - set(control.groups):
+            del self._presence_by_target[target_id]
 
     def _configure(self, settings: config.Configuration) -> None:
         """Apply a changed configuration to what was made under the old."""
@@ -125,13 +117,7 @@
 
     def base_model(self, name: str) -> str | None:
         """Return the model that serves a name, adapter or version."""
-        models = self._control.configuration.models
-        if name in models:
-            return name
-        for base, model in models.items():
-            if name in model.adapters or name in model.versions:
-                return base
-        return None
+        return _records.base_model(self._control.configuration, name)
 
     def has_group(self, model: str) -> bool:
         """Return whether the fold holds any group of a model."""
@@ -151,7 +137,7 @@
 
     def choose(
         self, request: interfaces.RouteRequest, now_ms: clock.Millis
-    ) -> Choice | None:
+    ) -> _records.Choice | None:
         """Return the target for a request, or `None` if none is free."""
         base = self.base_model(request.model)
         if base is None:
@@ -171,7 +157,7 @@
         if found is None:
             return None
         group = self._control.groups[found]
-        return Choice(found, self._view.urls[found], group.zone)
+        return _records.Choice(found, self._view.urls[found], group.zone)
 
     def _pick(
         self,
@@ -197,13 +183,16 @@
         if cold:
             # One cold target is always a candidate, or none would warm up.
             names = [*names, self._rng.choice(cold)]
-        tokens = routing.token_count(request.prompt)
-        best = routing.choose(
-            [self._candidate(n, mean, prefixes, now_ms) for n in names],
-            tokens,
+        drawn = routing.draw(
+            names,
+            lambda name: self._target(name).prefixes.cached_tokens(prefixes),
             prefixes[0] if prefixes else None,
             self._rng,
             settings.choices,
+        )
+        best = routing.cheapest(
+            [self._candidate(n, mean, prefixes, now_ms) for n in drawn],
+            routing.token_count(request.prompt),
             self._parameters(base),
         )
         return best.target_id if best else None
@@ -274,11 +263,26 @@
             return False
         if group.group_id not in self._view.urls:
             return False
-        state = routing.presence(
+        return self._is_present(group, now_ms)
+
+    def _is_present(self, group: routing.GroupView, now_ms: int) -> bool:
+        """Return whether all hosts are present, by the rule of R1.
+
+        The rule reads every host of the group; its result is kept as long as
+        neither its inputs nor the age of one of them can change it.
+        """
+        report = self._view.reports.get(group.group_id)
+        host_list = self._view.host_list
+        known = self._presence_by_target.get(group.group_id)
+        if known is not None and known.holds(group, report, host_list, now_ms):
+            return known.ready
+        state = routing.presence(group, report, host_list, now_ms)
+        self._presence_by_target[group.group_id] = _records.KnownPresence(
             group,
-            self._view.reports.get(group.group_id),
-            self._view.host_list,
-            now_ms,
+            report,
+            host_list,
+            state is routing.Presence.READY,
+            routing.presence_changes_ms(report, host_list, now_ms),
         )
         return state is routing.Presence.READY
 
@@ -403,7 +407,10 @@
         return len(target.tracker.in_flight) if target else 0
 
     def _target(self, target_id: str) -> _records.Target:
-        return self._targets.setdefault(target_id, _records.Target())
+        target = self._targets.get(target_id)
+        if target is None:
+            target = self._targets[target_id] = _records.Target()
+        return target
 
     def _model(self, base: str) -> _records.Model:
         if base not in self._models:
--- a/packages/node/tests/test_control.py
+++ b/packages/node/tests/test_control.py
@@ -26,17 +26,18 @@
 
 class _Peers:
     def __init__(self) -> None:
-        self.stops = control.LocalStops()
+        self.basis_by_zone: dict[str, int] = {}
+        self.basis_by_target: dict[str, int] = {}
         self.isolated = False
 
     def freshness(self) -> interfaces.Freshness:
         return interfaces.Freshness(self.isolated, not self.isolated)
 
     def stopped_zones(self) -> dict[str, int]:
-        return self.stops.zones()
+        return self.basis_by_zone
 
     def stopped_targets(self) -> dict[str, int]:
-        return self.stops.targets()
+        return self.basis_by_target
 
 
 class _Fleet:
@@ -68,8 +69,30 @@
         self.assertTrue(self.source.view().isolated)
         self.assertIsNot(self.source.view(), first)
 
+    def test_unchanged_groups_keep_their_views(self) -> None:
+        hosts = tuple(agreement.GroupHost(f"h{n}", 1) for n in range(4))
+        entries: list[agreement.Entry] = [
+            agreement.HostAdmitted(host.host, 1) for host in hosts
+        ]
+        entries.append(agreement.LeaseClaimed("z", "w", 0, 10_000))
+        self.log.append(entries, 0)
+        epoch = self.log.state().leases_by_resource["z"].epoch
+        for number in range(2):
+            members = hosts[2 * number : 2 * number + 2]
+            formed = agreement.GroupFormed(
+                f"g{number}", "m", "d", "zone-a", members, "z", epoch
+            )
+            self.log.append([formed], 0)
+        before = self.source.view().groups
+        drain = agreement.TargetDrainSet("g1", True, 0, "ops")
+        self.log.append([drain], 0)
+        after = self.source.view().groups
+        self.assertIs(after["g0"], before["g0"])
+        self.assertFalse(before["g1"].draining)
+        self.assertTrue(after["g1"].draining)
+
     def test_direct_stop_is_in_force_until_a_newer_bring_back(self) -> None:
-        self.peers.stops.stop_zone("zone-a", 0)
+        self.peers.basis_by_zone = {"zone-a": 0}
         self.assertEqual(self.source.view().zones_out, {"zone-a"})
         self.log.append([agreement.ZoneSet("zone-a", "out", 0, "ops")], 0)
         changed = self.log.state().zones_by_name["zone-a"].changed
@@ -80,7 +103,7 @@
         self.log.append([agreement.ZoneSet("zone-a", "out", 0, "ops")], 0)
         changed = self.log.state().zones_by_name["zone-a"].changed
         self.log.append([agreement.ZoneSet("zone-a", "in", changed, "ops")], 0)
-        self.peers.stops.stop_zone("zone-a", 0)
+        self.peers.basis_by_zone = {"zone-a": 0}
         self.assertEqual(self.source.view().zones_out, frozenset())
 
     def test_stop_on_the_bring_back_is_in_force(self) -> None:
@@ -88,7 +111,7 @@
         changed = self.log.state().zones_by_name["zone-a"].changed
         self.log.append([agreement.ZoneSet("zone-a", "in", changed, "ops")], 0)
         back = self.log.state().zones_by_name["zone-a"].changed
-        self.peers.stops.stop_zone("zone-a", back)
+        self.peers.basis_by_zone = {"zone-a": back}
         self.assertEqual(self.source.view().zones_out, {"zone-a"})
 
     def test_unreadable_revision_leaves_the_one_before_in_force(self) -> None:
