Measure the cost of streaming through a node

Cause: the inter-token latency at 150 streams was over the target, and the node's own cost was known from trials only.

--- a/packages/bench/src/quetzalward_bench/__main__.py
+++ b/packages/bench/src/quetzalward_bench/__main__.py
@@ -14,6 +14,7 @@
     "membership": "quetzalward_bench.membership",
     "retries": "quetzalward_bench._retries",
     "routing": "quetzalward_bench._routing",
+    "streaming": "quetzalward_bench._streaming",
 }
 
 
