--- a/packages/bench/src/quetzalward_bench/formation.py
+++ b/packages/bench/src/quetzalward_bench/formation.py
@@ -1,6 +1,7 @@
 """The formation policy against the greedy baseline on recorded failures.
 
-`python -m quetzalward_bench formation [--days N] [--size today|target]`.
+`python -m quetzalward_bench formation [--days N] [--size today|target]
+[--seed N] [--only VARIANT]`.
 """
 
 import argparse
@@ -39,7 +40,9 @@
 
 
 def _print(
-    scenario: _failures.Scenario, chosen: typing.Collection[str]
+    scenario: _failures.Scenario,
+    chosen: typing.Collection[str],
+    seed: int,
 ) -> None:
     """Replay a scenario against the chosen variants."""
     fleet = scenario.fleet
@@ -47,7 +50,7 @@
     print(
         f"{scenario.name}: {replicas} replicas, {len(fleet.hosts)} hosts,"
         f" {len(fleet.zones)} zones, {len(scenario.events)} events, seed"
-        f" {SEED}"
+        f" {seed}"
     )
     print(
         "  variant          down group-h  stranded acc-h  uncovered h"
@@ -72,14 +75,15 @@
     """Print the comparison at today's size and at the target size."""
     parser = argparse.ArgumentParser(prog="quetzalward_bench formation")
     parser.add_argument("--days", type=int, default=0)
+    parser.add_argument("--seed", type=int, default=SEED)
     parser.add_argument("--size", choices=("today", "target"))
     parser.add_argument("--only", action="append", choices=list(variants()))
     options = parser.parse_args(arguments)
     chosen = options.only or list(variants())
     if options.size != "target":
         days = options.days or DAYS_TODAY
-        _print(_failures.today(SEED, days), chosen)
+        _print(_failures.today(options.seed, days), chosen, options.seed)
     if options.size != "today":
         days = options.days or DAYS_TARGET
-        _print(_failures.target(SEED, days), chosen)
+        _print(_failures.target(options.seed, days), chosen, options.seed)
     return 0
