Do not eject a target for the slow tokens of its cold start

Cause: reports and attempts of a cold target counted as measurements of its speed. A cold start is slower by a factor of about two, so the targets of a returned zone could be ejected as stragglers for 10 s just when they were warm.

Change: measurements of a cold target do not count.

--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -111,7 +111,9 @@
         if cold:
             target.prefixes.clear()
         target.was_cold = cold
-        if report.running and report.token_ms > 0:
+        # Slow tokens of a cold start do not make a straggler of a target that
+        # is about to be warm.
+        if not cold and report.running and report.token_ms > 0:
             model = self._model(group.model)
             model.ejector.observe(report.target_id, report.token_ms)
 
@@ -380,10 +382,12 @@
         measured = self._model(model)
         change_ms = now_ms - sent_ms - measured.service_ms
         measured.service_ms += _SMOOTHING * change_ms
+        if self._slots.is_cold(target_id):
+            return
         if report.token_ms is not None:
             measured.ejector.observe(target_id, report.token_ms)
         first_ms = report.first_token_ms
-        if first_ms is None or self._slots.is_cold(target_id):
+        if first_ms is None:
             return
         if measured.first_tokens.is_cold(first_ms):
             self._note_cold(target_id, now_ms)
--- a/packages/node/tests/test_pool.py
+++ b/packages/node/tests/test_pool.py
@@ -101,6 +101,22 @@
         self.publish(as_of_ms=1, **by_target)  # type: ignore[arg-type]
         self.assertEqual(self.chosen(1), set(self.names) - {"g4"})
 
+    def test_slow_tokens_of_a_cold_start_do_not_eject(self) -> None:
+        # Guards the return of a zone: its targets warm up slowly, and were
+        # ejected as stragglers just when they were warm.
+        usual = {"running": 1}
+        cold = {
+            "running": 1,
+            "token_ms": 90.0,
+            "state": routing.EngineState.COLD,
+        }
+        by_target = dict.fromkeys(self.names, usual) | {"g3": cold}
+        for at_ms in (1, 2, 3):
+            self.publish(as_of_ms=at_ms, **by_target)  # type: ignore[arg-type]
+        by_target = dict.fromkeys(self.names, usual)
+        self.publish(as_of_ms=4, **by_target)  # type: ignore[arg-type]
+        self.assertIn("g3", self.chosen(4))
+
     def test_straggler_serves_if_nothing_else_can(self) -> None:
         usual = {"running": 20}
         slow = {"running": 1, "token_ms": 90.0}
