Serve streams in steady state from one relay thread

Cause: perf and strace showed the interpreter lock handed over several times a token (80 futex calls a token under strace, 10 context switches without), as each of 150 threads gave it up at every system call. Change: a worker hands its stream to the relay loop, which reads engines and writes to callers without blocking; the end, errors and slow callers go back to the worker. Events of one read are sent together.

--- a/packages/node/src/quetzalward_node/callers/_answers.py
+++ b/packages/node/src/quetzalward_node/callers/_answers.py
@@ -48,6 +48,15 @@
     def send(self, position: streams.Position, chunk: _chunks.Chunk) -> None:
         """Take a chunk after which the caller is at `position`."""
 
+    def hold(self) -> None:
+        """Keep what is written until `try_flush` or `release`."""
+
+    def try_flush(self) -> bool:
+        """Send without waiting; false if something is left to send."""
+
+    def release(self) -> None:
+        """Send what is left, waiting for the caller."""
+
     def finish(self, position: streams.Position, usage: _Json) -> None:
         """Take the end of the answer."""
 
@@ -90,6 +99,18 @@
             document["usage"] = None
         self._write(position, json.dumps(document))
 
+    def hold(self) -> None:
+        """Keep what is written until `try_flush` or `release`."""
+        self.exchange.hold()
+
+    def try_flush(self) -> bool:
+        """Send without waiting; false if something is left to send."""
+        return self.exchange.try_flush()
+
+    def release(self) -> None:
+        """Send what is left, waiting for the caller."""
+        self.exchange.release()
+
     def finish(self, position: streams.Position, usage: _Json) -> None:
         """Write the usage, if asked for, and the terminal event."""
         have = max(position.phase, self.start.phase)
@@ -165,6 +186,16 @@
         if choice.get("finish_reason") is not None:
             self._finish_reason = str(choice["finish_reason"])
 
+    def hold(self) -> None:
+        """Do nothing; the answer is sent as a whole."""
+
+    def try_flush(self) -> bool:
+        """Return true, as nothing is written before the end."""
+        return True
+
+    def release(self) -> None:
+        """Do nothing; the answer is sent as a whole."""
+
     def finish(self, position: streams.Position, usage: _Json) -> None:
         """Send the answer."""
         document = self.name.envelope(streamed=False)
--- a/packages/node/src/quetzalward_node/callers/_connection.py
+++ b/packages/node/src/quetzalward_node/callers/_connection.py
@@ -45,13 +45,39 @@
         """Write to a socket whose send timeout is the kernel's."""
         self._sock = sock
         self.bytes_written = 0
+        self._held: bytearray | None = None
 
     def write(self, data: bytes) -> int:
         """Send everything, or raise `OSError`."""
-        self._sock.sendall(data)
+        if self._held is None:
+            self._sock.sendall(data)
+        else:
+            self._held += data
         self.bytes_written += len(data)
         return len(data)
 
+    def hold(self) -> None:
+        """Keep what is written until `try_flush` or `release`."""
+        self._held = bytearray()
+
+    def try_flush(self) -> bool:
+        """Send without waiting; false if something is left to send."""
+        held = self._held
+        if held:
+            try:
+                sent = self._sock.send(held, socket.MSG_DONTWAIT)
+            except OSError:
+                # The worker sends again and reports it.
+                return False
+            del held[:sent]
+        return not held
+
+    def release(self) -> None:
+        """Send what is left and write directly again, or raise `OSError`."""
+        held, self._held = self._held, None
+        if held:
+            self._sock.sendall(held)
+
 
 class Exchange:
     """One request and the answer to it.
@@ -123,6 +149,19 @@
         with self._caller_errors():
             self._request.write(data)
 
+    def hold(self) -> None:
+        """Keep what is written until `try_flush` or `release`."""
+        self._request.conn.wfile.hold()
+
+    def try_flush(self) -> bool:
+        """Send without waiting; false if something is left to send."""
+        return bool(self._request.conn.wfile.try_flush())
+
+    def release(self) -> None:
+        """Send what is left and write directly again."""
+        with self._caller_errors():
+            self._request.conn.wfile.release()
+
     def fail(self, error: errors.QuetzalwardError) -> None:
         """Answer with an error, or cut the connection if it has started."""
         if self.started:
--- a/packages/node/src/quetzalward_node/callers/_engine.py
+++ b/packages/node/src/quetzalward_node/callers/_engine.py
@@ -10,6 +10,7 @@
 from quetzalward_core import errors
 from quetzalward_core import streams
 from quetzalward_node.callers import _chunks
+from quetzalward_node.callers import _relay
 from quetzalward_node.callers import _targets
 from quetzalward_node.callers import _watch
 from quetzalward_node import interfaces
@@ -54,6 +55,17 @@
     return AttemptFailedError(interfaces.AttemptResult.TIMED_OUT, error, True)
 
 
+@attrs.frozen
+class Outlet:
+    """Where the chunks of an attempt go."""
+
+    take: typing.Callable[[_chunks.Chunk], None]
+    # As in `_answers.Sink`.
+    hold: typing.Callable[[], None]
+    try_flush: typing.Callable[[], bool]
+    release: typing.Callable[[], None]
+
+
 @attrs.frozen
 class EngineRequest:
     """What one attempt sends."""
@@ -75,6 +87,7 @@
     connections: _targets.TargetConnections
     clock: clocks.Clock
     interruption: _watch.Interruption
+    loop: _relay.RelayLoop
     sent: bool = False
     tokens: int = 0
     first_token_ms: float | None = None
@@ -86,10 +99,10 @@
     _connection: _targets.TargetConnection | None = None
     _parser: streams.SseParser = attrs.field(factory=streams.SseParser)
 
-    def chunks(self) -> typing.Iterator[_chunks.Chunk]:
-        """Yield the chunks until the terminal `[DONE]`.
+    def relay(self, outlet: Outlet) -> None:
+        """Pass on the chunks until the terminal `[DONE]`.
 
-        Raises `AttemptFailedError`.
+        Raises `AttemptFailedError` and what the outlet raises.
         """
         connection = self._open()
         started_ms = self.clock.now_ms()
@@ -110,15 +123,13 @@
         self._waited_ms = self.clock.now_ms() - started_ms
         if status != 200:
             raise self._refusal(connection, status)
-        while True:
+        while not self._relay_steadily(connection, outlet):
             data = self._read(connection)
             if not data:
                 raise _failed("the stream ended before the answer was whole")
-            for chunk in self._parse(data):
-                if chunk is None:
-                    self._finish_reading(connection)
-                    return
-                yield chunk
+            if self._take(data, outlet):
+                break
+        self._finish_reading(connection)
 
     def note_token(self) -> None:
         """Account for a token of the chunk that was yielded last."""
@@ -150,6 +161,50 @@
             token_ms=token_ms,
         )
 
+    def _take(self, data: bytes, outlet: Outlet) -> bool:
+        """Pass on the chunks in a part of the body; true at `[DONE]`."""
+        for chunk in self._parse(data):
+            if chunk is None:
+                return True
+            outlet.take(chunk)
+        return False
+
+    def _relay_steadily(
+        self, connection: _targets.TargetConnection, outlet: Outlet
+    ) -> bool:
+        """Let the relay loop serve the stream; true at `[DONE]`.
+
+        Returns false when a blocking read has to show what comes next.
+        """
+        timeout_ms = self.limits.token_timeout_ms - round(self._waited_ms)
+        if self.tokens == 0 or timeout_ms <= 0:
+            return False
+        try:
+            detached = connection.detach()
+        except _targets.TargetBrokenError as error:
+            raise _failed("the connection to the engine broke") from error
+        if detached is None:
+            return False
+        body, received = detached
+        job = _relay.Job(
+            body,
+            lambda data: self._take(data, outlet),
+            outlet.try_flush,
+            self._note_wait,
+            timeout_ms,
+            self.clock.now_ms(),
+        )
+        outlet.hold()
+        try:
+            self.loop.serve(job, received)
+        finally:
+            connection.reattach(body)
+            outlet.release()
+        return job.complete
+
+    def _note_wait(self, waited_ms: clocks.Millis) -> None:
+        self._waited_ms += waited_ms
+
     def _open(self, fresh: bool = False) -> _targets.TargetConnection:
         try:
             connection = self.connections.open(self.grant.url, fresh)
--- a/packages/node/src/quetzalward_node/callers/_server.py
+++ b/packages/node/src/quetzalward_node/callers/_server.py
@@ -14,6 +14,7 @@
 from quetzalward_node.callers import _http
 from quetzalward_node.callers import _meters
 from quetzalward_node.callers import _problems
+from quetzalward_node.callers import _relay
 from quetzalward_node.callers import _routes
 from quetzalward_node.callers import _service_attempt
 from quetzalward_node.callers import _stream
@@ -58,6 +59,7 @@
         self._connections = _targets.TargetConnections()
         self._canceller = _cancels.Canceller(self._connections, self._meters)
         self._watch = _watch.CallerWatch(clock)
+        self._relay = _relay.RelayLoop(clock)
         self._clock = clock
         self._handler = _routes.Handler(
             self._parts(
@@ -112,6 +114,7 @@
         """
         self._http.prepare()
         self._watch.start()
+        self._relay.start()
         self._canceller.start()
         self._thread.start()
         _LOG.info("serving callers on {}:{}", *self.address)
@@ -140,6 +143,7 @@
         self._http.stop()
         self._thread.join()
         self._canceller.stop()
+        self._relay.stop()
         self._watch.stop()
         self._connections.close()
         _LOG.info("stopped serving callers")
@@ -161,6 +165,7 @@
             self._clock,
             tracing,
             self._meters,
+            self._relay,
         )
         service_parts = _service_attempt.Parts(
             services,
--- a/packages/node/src/quetzalward_node/callers/_stream.py
+++ b/packages/node/src/quetzalward_node/callers/_stream.py
@@ -16,6 +16,7 @@
 from quetzalward_node.callers import _engine
 from quetzalward_node.callers import _exceptions
 from quetzalward_node.callers import _meters
+from quetzalward_node.callers import _relay
 from quetzalward_node.callers import _targets
 from quetzalward_node.callers import _watch
 from quetzalward_node import interfaces
@@ -36,6 +37,7 @@
     clock: clocks.Clock
     tracing: telemetry.Tracing
     meters: _meters.Meters
+    loop: _relay.RelayLoop
 
 
 @attrs.frozen
@@ -203,13 +205,20 @@
             self.parts.connections,
             self.parts.clock,
             self.interruption,
+            self.parts.loop,
         )
 
     def _relay(self, attempt: _engine.EngineAttempt, number: int) -> None:
         """Pass on the chunks of an attempt until its answer is complete."""
         try:
-            for chunk in attempt.chunks():
-                self._relay_chunk(attempt, number, chunk)
+            attempt.relay(
+                _engine.Outlet(
+                    lambda chunk: self._relay_chunk(attempt, number, chunk),
+                    self.sink.hold,
+                    self.sink.try_flush,
+                    self.sink.release,
+                )
+            )
         except streams.ForeignFrameError as error:
             raise _engine.AttemptFailedError(
                 _Result.FAILED,
--- a/packages/node/src/quetzalward_node/callers/_targets.py
+++ b/packages/node/src/quetzalward_node/callers/_targets.py
@@ -8,6 +8,8 @@
 import collections
 import contextlib
 import http.client
+import io
+import re
 import socket
 import threading
 import typing
@@ -23,6 +25,9 @@
 MAX_IDLE_PER_TARGET = 16
 CONNECT_TIMEOUT_MS = 1_000
 READ_BYTES = 65_536
+# A chunk's size line with extensions; a longer one is left to `http.client`.
+MAX_SIZE_LINE_BYTES = 256
+_SIZE_LINE = re.compile(rb"(\r\n)?([0-9A-Fa-f]{1,8})(?:;[^\r\n]*)?\r\n")
 # What a library may raise when a connection or its answer breaks.
 FAILURES = (
     OSError,
@@ -59,6 +64,66 @@
         raise TargetBrokenError(repr(error)) from error
 
 
+@attrs.define(eq=False)
+class ChunkedBody:
+    """The rest of a chunked answer, taken over from `http.client`."""
+
+    sock: socket.socket
+    # As in `http.client`: bytes left of the chunk, 0 if only its line break
+    # is due, `None` at the start of a size line.
+    chunk_left: int | None
+    pending: bytes = b""
+    over: bool = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Take received bytes and return the part of the body in them."""
+        rest = self.pending + data
+        parts = []
+        while rest:
+            if self.chunk_left:
+                part = rest[: self.chunk_left]
+                parts.append(part)
+                rest = rest[len(part) :]
+                self.chunk_left -= len(part)
+                continue
+            line = _SIZE_LINE.match(rest)
+            if line is None or bool(line.group(1)) != (self.chunk_left == 0):
+                self.over = len(rest) > MAX_SIZE_LINE_BYTES
+                break
+            size = int(line.group(2), 16)
+            if size == 0:
+                self.over = True
+                break
+            self.chunk_left = size
+            rest = rest[line.end() :]
+        self.pending = rest
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+class _Unread(io.RawIOBase):
+    """Reads bytes that were put back, then what follows them."""
+
+    def __init__(self, data: bytes, rest: typing.Any) -> None:
+        super().__init__()
+        self._data = data
+        self._rest = rest
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int:
+        data = self._data or self._rest.read1(len(buffer))
+        count = min(len(data), len(buffer))
+        buffer[:count] = data[:count]
+        if self._data:
+            self._data = self._data[count:]
+        return count
+
+    def close(self) -> None:
+        super().close()
+        self._rest.close()
+
+
 @attrs.define(eq=False)
 class TargetConnection:
     """One connection to a target with at most one exchange."""
@@ -118,6 +183,35 @@
         self._complete = not data
         return data
 
+    def detach(self) -> tuple[ChunkedBody, bytes] | None:
+        """Take over reading the body; `None` if it is not a chunked one.
+
+        Also returns what was received before. The socket no longer blocks
+        until `reattach`. Raises `TargetBrokenError`.
+        """
+        raw = self._raw()
+        if raw is None or not raw.chunked or raw.fp is None:
+            return None
+        with _translated():
+            self.sock.settimeout(0)
+            received = raw.fp.peek(READ_BYTES)
+            raw.fp.read(len(received))
+        return ChunkedBody(self.sock, raw.chunk_left), bytes(received)
+
+    def reattach(self, body: ChunkedBody) -> None:
+        """Let `read` continue where a detached body ended."""
+        raw = self._raw()
+        if raw is not None and raw.fp is not None:
+            raw.chunk_left = body.chunk_left
+            if body.pending:
+                rest = _Unread(body.pending, raw.fp)
+                raw.fp = io.BufferedReader(rest)
+
+    def _raw(self) -> typing.Any:
+        """Return the `http.client` response under that of urllib3."""
+        raw = getattr(self._response, "_original_response", None)
+        return raw if isinstance(raw, http.client.HTTPResponse) else None
+
     @property
     def reusable(self) -> bool:
         """Return whether the answer was read to the end and may be reused."""
