Use one implementation of problem details on both ports

Cause: the operators' server repeated the callers' one and lacked the OpenAI error object, escaped details and the retryable rule for a known outcome. Change: quetzalward_node/_problems.py serves both.

--- a/packages/node/src/quetzalward_node/callers/_answers.py
+++ b/packages/node/src/quetzalward_node/callers/_answers.py
@@ -7,10 +7,10 @@
 
 from quetzalward_core import errors
 from quetzalward_core import streams
+from quetzalward_node import _problems
 from quetzalward_node.callers import _chunks
 from quetzalward_node.callers import _connection
 from quetzalward_node.callers import _drafts
-from quetzalward_node.callers import _problems
 
 EVENT_STREAM = "text/event-stream; charset=utf-8"
 # Far above any answer within `max_tokens`; bounds memory per request.
--- a/packages/node/src/quetzalward_node/callers/_connection.py
+++ b/packages/node/src/quetzalward_node/callers/_connection.py
@@ -9,9 +9,9 @@
 from cheroot import server as cheroot_server
 
 from quetzalward_core import errors
+from quetzalward_node import _problems
 from quetzalward_node.callers import _exceptions
 from quetzalward_node.callers import _framing
-from quetzalward_node.callers import _problems
 
 # cheroot's own refusals of a request line, by status.
 _KIND_BY_STATUS = {
--- a/packages/node/src/quetzalward_node/callers/_gate.py
+++ b/packages/node/src/quetzalward_node/callers/_gate.py
@@ -17,9 +17,9 @@
 
 from quetzalward_core import clock as clocks
 from quetzalward_core import errors
+from quetzalward_node import _problems
 from quetzalward_node.callers import _connection
 from quetzalward_node.callers import _framing
-from quetzalward_node.callers import _problems
 
 RECEIVE_BYTES = 65_536
 ACCEPTS_PER_TURN = 64
--- a/packages/node/src/quetzalward_node/callers/_routes.py
+++ b/packages/node/src/quetzalward_node/callers/_routes.py
@@ -15,13 +15,13 @@
 from quetzalward_core import config
 from quetzalward_core import errors
 from quetzalward_core import streams
+from quetzalward_node import _problems
 from quetzalward_node.callers import _answers
 from quetzalward_node.callers import _connection
 from quetzalward_node.callers import _customers
 from quetzalward_node.callers import _drafts
 from quetzalward_node.callers import _exceptions
 from quetzalward_node.callers import _hops
-from quetzalward_node.callers import _problems
 from quetzalward_node.callers import _service_attempt
 from quetzalward_node.callers import _services
 from quetzalward_node.callers import _stream
--- a/packages/node/src/quetzalward_node/callers/_server.py
+++ b/packages/node/src/quetzalward_node/callers/_server.py
@@ -9,11 +9,11 @@
 from quetzalward_core import clock as clocks
 from quetzalward_core import config
 from quetzalward_core import errors
+from quetzalward_node import _problems
 from quetzalward_node.callers import _cancels
 from quetzalward_node.callers import _gate
 from quetzalward_node.callers import _http
 from quetzalward_node.callers import _meters
-from quetzalward_node.callers import _problems
 from quetzalward_node.callers import _relay
 from quetzalward_node.callers import _routes
 from quetzalward_node.callers import _service_attempt
--- a/packages/node/src/quetzalward_node/operators/_server.py
+++ b/packages/node/src/quetzalward_node/operators/_server.py
@@ -8,8 +8,8 @@
 from cheroot import wsgi
 import logbook
 
-from quetzalward_core import clock
 from quetzalward_core import errors
+from quetzalward_node import _problems
 from quetzalward_node.operators import _api
 from quetzalward_node.operators import _auth
 
@@ -23,7 +23,6 @@
 Environ = dict[str, typing.Any]
 Reply = tuple[int, str, bytes, dict[str, str]]
 _JSON = "application/json"
-_PROBLEM = "application/problem+json"
 _TEXT = "text/plain; charset=utf-8"
 
 
@@ -221,19 +220,6 @@
 
 
 def _problem(error: errors.QuetzalwardError) -> Reply:
-    answer = error.answer
-    document = {
-        "type": f"urn:quetzalward:error:{error.kind.value}",
-        "title": answer.title,
-        "status": answer.status,
-        "detail": error.detail,
-        "kind": error.kind.value,
-        "retryable": answer.retryable,
-        "outcome": error.outcome.value,
-        "remedy": answer.remedy,
-    }
-    extra = {}
-    if error.retry_after_ms is not None:
-        seconds = -(-error.retry_after_ms // clock.MILLIS_PER_SECOND)
-        extra["Retry-After"] = str(max(1, seconds))
-    return answer.status, _PROBLEM, json.dumps(document).encode(), extra
+    status, headers, body = _problems.render(error)
+    extra = dict(headers)
+    return status, extra.pop("Content-Type"), body, extra
--- a/packages/node/tests/test_callers_hostile.py
+++ b/packages/node/tests/test_callers_hostile.py
@@ -12,8 +12,8 @@
 from quetzalward_core import errors
 from quetzalward_node import callers
 from quetzalward_node.callers import _drafts
+from quetzalward_node import _problems
 from quetzalward_node.callers import _framing
-from quetzalward_node.callers import _problems
 
 SHORT = callers.GateLimits(
     header_timeout_ms=150, body_timeout_ms=150, idle_timeout_ms=150
--- a/packages/node/tests/test_callers_problems.py
+++ b/packages/node/tests/test_callers_problems.py
@@ -4,7 +4,7 @@
 import unittest
 
 from quetzalward_core import errors
-from quetzalward_node.callers import _problems
+from quetzalward_node import _problems
 
 
 class ProblemTest(unittest.TestCase):
