Keep the spans of recent requests in memory for the trace command

Cause: the operators' port returned no spans for a request id. Change: a ring of 4,096 ended spans (about 6 MB at most), recorded also without a trace file and without setting the sampled flag towards engines.

--- a/packages/node/src/quetzalward_node/_wiring.py
+++ b/packages/node/src/quetzalward_node/_wiring.py
@@ -223,7 +223,7 @@
             self._not_ready,
             self._context.telemetry.metrics.render,
             telemetry.CONTENT_TYPE,
-            lambda request_id: [],
+            self._context.telemetry.tracing.spans,
         )
         host, _, port = self._settings.operators_listen.rpartition(":")
         return operators.OperatorsServer(
--- a/packages/node/src/quetzalward_node/telemetry/_tracing.py
+++ b/packages/node/src/quetzalward_node/telemetry/_tracing.py
@@ -11,6 +11,8 @@
 from opentelemetry import trace
 from opentelemetry.trace.propagation import tracecontext
 
+from quetzalward_node.telemetry import _recent
+
 Attributes = typing.Mapping[str, str | int | float | bool]
 
 
@@ -42,14 +44,17 @@
 
 
 class Tracing:
-    """Starts spans; without a trace file they only carry the context."""
+    """Starts spans and keeps the most recent ones in memory."""
 
     def __init__(self, node: str, trace_file: str | None = None) -> None:
         """Create spans in the name of a node."""
+        record_only = _recent.RecordOnly()
         self._provider = sdk_trace.TracerProvider(
             # A caller's decision to sample is kept and passed on either way.
             sampler=sampling.ParentBased(
-                sampling.ALWAYS_ON if trace_file else sampling.ALWAYS_OFF
+                sampling.ALWAYS_ON if trace_file else record_only,
+                remote_parent_not_sampled=record_only,
+                local_parent_not_sampled=record_only,
             ),
             resource=resources.Resource(
                 {
@@ -59,6 +64,8 @@
             ),
             shutdown_on_exit=False,
         )
+        self._recent = _recent.RecentSpans()
+        self._provider.add_span_processor(self._recent)
         if trace_file:
             self._provider.add_span_processor(
                 export.BatchSpanProcessor(JsonLinesExporter(trace_file))
@@ -102,6 +109,10 @@
         self._propagator.inject(carrier, context=context)
         return carrier
 
+    def spans(self, request_id: str) -> list[dict[str, typing.Any]]:
+        """Return the recent spans of a request, ordered by start."""
+        return self._recent.rows(request_id)
+
     def close(self) -> None:
         """Export what is outstanding and stop."""
         self._provider.shutdown()
--- a/packages/node/tests/test_callers_hostile.py
+++ b/packages/node/tests/test_callers_hostile.py
@@ -10,9 +10,9 @@
 import logbook
 
 from quetzalward_core import errors
+from quetzalward_node import _problems
 from quetzalward_node import callers
 from quetzalward_node.callers import _drafts
-from quetzalward_node import _problems
 from quetzalward_node.callers import _framing
 
 SHORT = callers.GateLimits(
--- a/packages/node/tests/test_telemetry.py
+++ b/packages/node/tests/test_telemetry.py
@@ -89,7 +89,8 @@
         with front.connect() as sock:
             sock.sendall(request)
             data = callers_fakes.receive_all(sock)
-        self.assertEqual(200, callers_fakes.parse_answers(data)[0].status)
+        self.answer = callers_fakes.parse_answers(data)[0]
+        self.assertEqual(200, self.answer.status)
         front.close()
         sent = [
             engine.requests[0][2]["traceparent"] for engine in (first, second)
@@ -127,6 +128,35 @@
         for value in sent:
             self.assertRegex(value, f"00-{TRACE_ID}-[0-9a-f]{{16}}-01")
 
+    def test_recent_spans_of_a_request_without_a_trace_file(self):
+        front, _ = self.run_request()
+        request_id = self.answer.headers["x-request-id"]
+        rows = front.telemetry.tracing.spans(request_id)
+        names = ["entry"] + ["queue", "route", "attempt", "target"] * 2
+        self.assertEqual(names, [row["name"] for row in rows])
+        starts = [row["start_ms"] for row in rows]
+        self.assertEqual(sorted(starts), starts)
+        self.assertEqual("ok", rows[0]["attributes"]["result"])
+        self.assertEqual([], front.telemetry.tracing.spans("unknown"))
+
+    def test_old_spans_leave_a_bounded_ring(self):
+        tracing = telemetry.Tracing("n1")
+        self.addCleanup(tracing.close)
+        for number in range(5_000):
+            tracing.entry({}, {"request_id": f"r{number}"}).end()
+        self.assertEqual([], tracing.spans("r0"))
+        self.assertEqual(1, len(tracing.spans("r4999")))
+
+    def test_recording_alone_does_not_mark_a_trace_as_sampled(self):
+        tracing = telemetry.Tracing("n1")
+        self.addCleanup(tracing.close)
+        for given in ({}, {"traceparent": TRACEPARENT[:-1] + "0"}):
+            span = tracing.entry(given, {"request_id": "r"})
+            # Bit 0 means sampled; bit 1 only that the id is random.
+            flags = int(tracing.headers(span)["traceparent"][-2:], 16)
+            self.assertEqual(0, flags & 1)
+            span.end()
+
     def test_requests_are_counted(self):
         front, _ = self.run_request()
         text = front.telemetry.metrics.render()
