--- a/packages/bench/tests/test_docs.py
+++ b/packages/bench/tests/test_docs.py
@@ -1,11 +1,17 @@
 """Tests that the documentation agrees with the repository."""
 
 import importlib.util
+import json
 import pathlib
 import re
 import typing
 import unittest
 
+import attrs
+
+from quetzalward_core import config
+from quetzalward_node import _settings
+
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PROMISES = ROOT / "docs" / "promises.md"
 _LINK = re.compile(r"\[[^\]]*\]\(([^)\s]+)\)")
@@ -41,6 +47,15 @@
     return module
 
 
+def _shown(default: typing.Any) -> str:
+    """Return a default as the pages write it."""
+    if default is attrs.NOTHING:
+        return "required"
+    if default == 1 / 3:
+        return "1/3"
+    return json.dumps(default)
+
+
 class LinksTest(unittest.TestCase):
     """Guards against links to files that were moved or never written."""
 
@@ -90,6 +105,57 @@
         self.assertEqual(page, load_tool("error_kinds").render())
 
 
+class FieldsTest(unittest.TestCase):
+    """Guards against settings that no page explains or that are gone."""
+
+    def _rows(self, page: str, heading: str) -> dict[str, list[str]]:
+        """Return the cells of the first table after a heading, by field."""
+        text = (ROOT / "docs" / "operations" / page).read_text()
+        text = text[text.index(heading) :]
+        table = text[text.index("| field |") :].partition("\n\n")[0]
+        rows = {}
+        for line in table.splitlines()[2:]:
+            cells = [cell.strip() for cell in line.strip("|").split("|")]
+            rows[cells[0].strip("`")] = cells
+        return rows
+
+    def _check(
+        self, kind: typing.Any, page: str, heading: str, default_column: int
+    ) -> None:
+        rows = self._rows(page, heading)
+        fields = {field.name: field for field in attrs.fields(kind)}
+        self.assertEqual(list(rows), list(fields), heading)
+        for name, field in fields.items():
+            shown = rows[name][default_column].strip("`")
+            with self.subTest(heading=heading, field=name):
+                self.assertEqual(shown, _shown(field.default))
+
+    def test_node_settings(self) -> None:
+        self._check(_settings.Settings, "install.md", "## Node settings", 2)
+
+    def test_configuration(self) -> None:
+        page = "configuration.md"
+        named = {
+            "zones": config.Zone,
+            "models": config.Model,
+            "services": config.Service,
+            "customers": config.Customer,
+            "operators": config.Operator,
+        }
+        single = {
+            "engines": config.Engines,
+            "limits": config.Limits,
+            "routing": config.Routing,
+            "calls": config.Calls,
+        }
+        sections = {f.name for f in attrs.fields(config.Configuration)}
+        self.assertEqual(sections, named.keys() | single.keys())
+        for name, kind in named.items():
+            self._check(kind, page, f"`{name}.NAME`: ", 2)
+        for name, kind in single.items():
+            self._check(kind, page, f"\n`{name}`: ", 2)
+
+
 class NewsTest(unittest.TestCase):
     """Guards against fragments that a release would not pick up."""
 
