--- a/packages/bench/src/quetzalward_bench/__main__.py
+++ b/packages/bench/src/quetzalward_bench/__main__.py
@@ -17,7 +17,9 @@
     "propagation": "quetzalward_bench.propagation",
     "retries": "quetzalward_bench._retries",
     "routing": "quetzalward_bench._routing",
+    "weighted": "quetzalward_bench.weighted",
     "zone": "quetzalward_bench.zone",
+    "streaming": "quetzalward_bench._streaming",
 }
 # These take their list of arguments and return an exit status.
 OWN_PARSER = frozenset({"formation", "membership"})
