Report a first publication as accepted when its token ends with it

Cause: the bootstrap token is void once a configuration names operators, so publish with a bootstrap token of its own ended with status 5, 'not allowed', although the revision was accepted.

--- a/packages/cli/src/quetzalward_cli/_publish.py
+++ b/packages/cli/src/quetzalward_cli/_publish.py
@@ -86,6 +86,21 @@
     )
 
 
+def _live_nodes(
+    client: _client.OperatorClient, revision: int
+) -> list[typing.Any]:
+    try:
+        return list(client.get(NODES_PATH)["nodes"])
+    except errors.QuetzalwardError as error:
+        if error.kind is not errors.ErrorKind.UNAUTHENTICATED:
+            raise
+        raise errors.QuetzalwardError(
+            errors.ErrorKind.OUTCOME_UNKNOWN,
+            f"revision {revision} is accepted and names operators without"
+            " this token; see `quetzalward node list` with one of theirs",
+        ) from error
+
+
 def wait_in_force(
     client: _client.OperatorClient,
     revision: int,
@@ -93,10 +108,14 @@
     time: clock.Clock,
     sleep: Sleep,
 ) -> Publication:
-    """Wait until every live node has the revision in force, or time is up."""
+    """Wait until every live node has the revision in force, or time is up.
+
+    Raises `QuetzalwardError` of kind `outcome_unknown` if the revision does
+    not accept the operator's token, as happens to the bootstrap token.
+    """
     deadline_ms = time.now_ms() + timeout_ms
     while True:
-        nodes = client.get(NODES_PATH)["nodes"]
+        nodes = _live_nodes(client, revision)
         live = [n for n in nodes if n["state"] == "joined"]
         missing = [n["name"] for n in live if n["config_revision"] < revision]
         done = [n["name"] for n in live if n["config_revision"] >= revision]
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -141,6 +141,21 @@
         self.assertEqual(status, 4)
         self.assertIn("not yet in force on n1", err)
 
+    def test_bootstrap_token_that_ends_is_not_a_refusal(self) -> None:
+        # Guards against "not allowed" for a configuration that was accepted.
+        def handler(
+            method: str, path: str, body: typing.Any
+        ) -> fake_node.Answer:
+            if path.endswith("/nodes"):
+                return 401, {"kind": "unauthenticated", "detail": "unknown"}
+            if method == "POST":
+                return 200, {"revision": 9}
+            return 200, {"revision": 0, "document": {}}
+
+        status, _, err = self._publish(self.start_node(handler))
+        self.assertEqual(status, 4)
+        self.assertIn("revision 9 is accepted", err)
+
     def test_conflict_shows_the_difference(self) -> None:
         def handler(
             method: str, path: str, body: typing.Any
