--- a/packages/node/src/quetzalward_node/cli.py
+++ b/packages/node/src/quetzalward_node/cli.py
@@ -29,7 +29,12 @@
     except errors.QuetzalwardError as error:
         print(f"{error}\n{error.answer.remedy}", file=sys.stderr)
         return EXIT_INVALID
-    return 0 if node.run() else EXIT_CUT_OFF
+    try:
+        return 0 if node.run() else EXIT_CUT_OFF
+    except OSError as error:
+        # A taken port or an address of another host.
+        print(f"{settings_path}: cannot start: {error}", file=sys.stderr)
+        return EXIT_INVALID
 
 
 class Commands:
--- a/packages/node/tests/test_app.py
+++ b/packages/node/tests/test_app.py
@@ -167,6 +167,12 @@
         self.secret.unlink()
         self.assert_invalid(self.settings(), "secret_file")
 
+    def test_taken_port_is_named_without_a_traceback(self):
+        with callers_fakes.socket.create_server(("127.0.0.1", 0)) as taken:
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            path = self.settings(operators_listen=address)
+            self.assert_invalid(path, f"{path}: cannot start: ")
+
     def test_secret_is_stripped(self):
         secret = app.read_secret(str(self.secret))
         self.assertEqual(b"0123456789abcdef", secret)
