--- a/packages/bench/tests/functional/support.py
+++ b/packages/bench/tests/functional/support.py
@@ -21,9 +21,21 @@
 STOP_BOUND_S = 5.0
 OK_STATUSES = (200, 201)
 
+# Four files run at a time; with the usual 320 threads for each of a node's
+# callers, their clusters exceed the machine's limit of threads.
+NODE_THREADS = 48
+
 Json = typing.Any
 
 
+def small(**more: typing.Any) -> cluster.ClusterSpec:
+    """Return a cluster of four nodes with few threads each."""
+    settings = {"threads": NODE_THREADS, **more.pop("node_settings", {})}
+    return cluster.ClusterSpec(
+        **{"nodes": 4, "node_settings": settings, **more}
+    )
+
+
 def wait_for(
     condition: typing.Callable[[], typing.Any],
     what: str,
--- a/packages/bench/tests/functional/test_bookings.py
+++ b/packages/bench/tests/functional/test_bookings.py
@@ -52,8 +52,7 @@
 class BookingCase(support.ClusterCase):
     """Clears the faults of log and service after each test."""
 
-    spec = cluster.ClusterSpec(
-        nodes=4,
+    spec = support.small(
         replicas=3,
         spare_hosts_per_zone=0,
         hosts_per_domain=2,
--- a/packages/bench/tests/functional/test_hosts.py
+++ b/packages/bench/tests/functional/test_hosts.py
@@ -6,8 +6,6 @@
 from functional import agreed
 from functional import support
 
-from quetzalward_standins import cluster
-
 SEED = 11
 # Largest age of a report that lets a replica serve, and the time that a
 # request may be on its way: both are within the stated few seconds.
@@ -19,7 +17,7 @@
 class HostFaultsTest(support.ClusterCase):
     """Guards R1 and R2 against hosts that fail and come back."""
 
-    spec = cluster.ClusterSpec(nodes=3, replicas=6)
+    spec = support.small(nodes=3, replicas=6)
 
     def setUp(self) -> None:
         self.addCleanup(self.revive_all)
--- a/packages/bench/tests/functional/test_leases.py
+++ b/packages/bench/tests/functional/test_leases.py
@@ -22,8 +22,7 @@
 class PausedHolderTest(support.ClusterCase):
     """Guards R2 against a holder that acts after it lost its lease."""
 
-    spec = cluster.ClusterSpec(
-        nodes=4,
+    spec = support.small(
         replicas=6,
         engines=_target.EngineSettings(honours_fencing=False),
     )
--- a/packages/bench/tests/functional/test_operators.py
+++ b/packages/bench/tests/functional/test_operators.py
@@ -20,8 +20,7 @@
 class ConfigurationTest(support.ClusterCase):
     """Guards R10 against lost, doubled and reverted configurations."""
 
-    spec = cluster.ClusterSpec(
-        nodes=4,
+    spec = support.small(
         replicas=3,
         # The snapshot test fills the log with records.
         log=_log.LogSettings(appends_per_s=10_000, burst=10_000),
--- a/packages/bench/tests/functional/test_streams.py
+++ b/packages/bench/tests/functional/test_streams.py
@@ -15,7 +15,7 @@
 class StreamCase(support.ClusterCase):
     """Waits until targets are warm and every node runs."""
 
-    spec = cluster.ClusterSpec(nodes=4, replicas=6)
+    spec = support.small(replicas=6)
 
     def setUp(self) -> None:
         for node in self.running.nodes:
