--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,7 +16,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-MODULE_TIMEOUT_S = 900
+MODULE_TIMEOUT_S = 600
 RESULT_MARK = "@@result "
 
 
