--- a/packages/core/src/quetzalward_core/limits/__init__.py
+++ b/packages/core/src/quetzalward_core/limits/__init__.py
@@ -9,6 +9,7 @@
 from quetzalward_core.limits._queue import FairQueue
 from quetzalward_core.limits._queue import flow_weight
 from quetzalward_core.limits._retry import HedgeRule
+from quetzalward_core.limits._retry import MIN_RETRIES
 from quetzalward_core.limits._retry import RetryBudget
 from quetzalward_core.limits._shares import Demand
 from quetzalward_core.limits._shares import DEMAND_WINDOW_MS
@@ -17,6 +18,7 @@
 from quetzalward_core.limits._shares import Share
 
 __all__ = [
+    "MIN_RETRIES",
     "DEMAND_WINDOW_MS",
     "Demand",
     "DemandHistory",
--- a/packages/core/src/quetzalward_core/limits/_retry.py
+++ b/packages/core/src/quetzalward_core/limits/_retry.py
@@ -5,7 +5,8 @@
 from quetzalward_core import clock
 
 BUDGET_WINDOW_MS = 10_000
-MIN_RETRIES = 3
+# A failed replica of a small cluster holds more than 3 requests of a node.
+MIN_RETRIES = 10
 HEDGE_QUANTILE = 0.95
 # Fewer samples give no usable p95.
 MIN_HEDGE_SAMPLES = 20
@@ -16,7 +17,7 @@
     """Bounds retries to a share of the requests of the last 10 s."""
 
     def __init__(self, percent: float = 10.0) -> None:
-        """Allow `percent` retries per 100 requests, at least 3."""
+        """Allow `percent` retries per 100 requests, at least 10."""
         self._percent = percent
         self._requests: collections.deque[clock.Millis] = collections.deque()
         self._retries: collections.deque[clock.Millis] = collections.deque()
