No new work to a target after a failure until a newer report

Change: a failed or timed-out attempt counts like a refusal: the target gets nothing new from this node before a report taken after it. Figures: the new test fails without the change and passes with it.

--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -247,10 +247,10 @@
         if model != group.model and model not in report.models:
             return False
         target = self._target(target_id)
-        if target.refused_ms is not None:
-            if report.as_of_ms <= target.refused_ms:
+        if target.unproved_since_ms is not None:
+            if report.as_of_ms <= target.unproved_since_ms:
                 return False
-            target.refused_ms = None
+            target.unproved_since_ms = None
         if self._slots.is_cold(target_id):
             return self._slot_free(target_id, now_ms)
         if target_id not in self._view.subset:
@@ -360,11 +360,14 @@
         if result is interfaces.AttemptResult.COLD:
             self._note_cold(target_id, now_ms)
         elif result is interfaces.AttemptResult.REFUSED:
-            target.refused_ms = now_ms
+            target.unproved_since_ms = now_ms
         elif result in (
             interfaces.AttemptResult.FAILED,
             interfaces.AttemptResult.TIMED_OUT,
         ):
+            # A target whose answers break may have turned cold; work as to a
+            # warm one would overload it, so a newer report must come first.
+            target.unproved_since_ms = now_ms
             ejector.failed(target_id)
         elif result is interfaces.AttemptResult.OK:
             ejector.succeeded(target_id)
--- a/packages/node/src/quetzalward_node/dispatch/_records.py
+++ b/packages/node/src/quetzalward_node/dispatch/_records.py
@@ -25,7 +25,8 @@
     prefixes: routing.PrefixIndex = attrs.field(factory=routing.PrefixIndex)
     was_cold: bool = False
     warm_since_ms: clock.Millis | None = None
-    refused_ms: clock.Millis | None = None
+    # Time of the last refusal or failure; only a newer report clears it.
+    unproved_since_ms: clock.Millis | None = None
 
 
 @attrs.frozen(eq=False)
--- a/packages/node/tests/test_pool.py
+++ b/packages/node/tests/test_pool.py
@@ -71,6 +71,22 @@
         self.publish(events=gone, as_of_ms=2)
         self.assertNotEqual(self.chosen(2, prompt=prompt), {"g5"})
 
+    def test_failed_target_waits_for_a_newer_report(self) -> None:
+        """R3: a target that turned cold gets the load of a warm one."""
+        results = interfaces.AttemptResult
+        for number, result in enumerate(
+            (results.FAILED, results.TIMED_OUT, results.REFUSED)
+        ):
+            with self.subTest(result):
+                now_ms = 10 * (number + 1)
+                self.publish(as_of_ms=now_ms)
+                self.pool.sent(number, "g5", "", now_ms)
+                report = interfaces.AttemptReport(result)
+                self.pool.ended(number, "g5", "m", now_ms, report, now_ms + 1)
+                self.assertNotIn("g5", self.chosen(now_ms + 1))
+                self.publish(as_of_ms=now_ms + 2)
+                self.assertIn("g5", self.chosen(now_ms + 2))
+
     def test_cold_target_loses_its_cache(self) -> None:
         prompt = "a long shared prompt " * 200
         self.pool.sent(1, "g5", prompt, 0)
