Use the slots of a cold target while others are loaded

The estimate of a cold target's load faded towards the mean of the warm ones, which made a target that bears 2 requests look full, and it was drawn among all others instead of being added to them. Change: a cold target with a free slot of this node counts with this node's own requests only, and one of them is always added to the drawn targets.

--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -182,9 +182,6 @@
         ]
         ejected = self._model(base).ejector.ejected(watched, now_ms)
         names = [name for name in warm if name not in ejected] or warm
-        if cold:
-            # One cold target is always a candidate, or none would warm up.
-            names = [*names, self._rng.choice(cold)]
         drawn = routing.draw(
             names,
             lambda name: self._target(name).prefixes.cached_tokens(prefixes),
@@ -192,6 +189,9 @@
             self._rng,
             settings.choices,
         )
+        if cold:
+            # One cold target is always a candidate, or none would warm up.
+            drawn.append(self._rng.choice(cold))
         best = routing.cheapest(
             [self._candidate(n, mean, prefixes, now_ms) for n in drawn],
             routing.token_count(request.prompt),
@@ -216,6 +216,13 @@
     ) -> routing.Candidate:
         target = self._target(target_id)
         report = self._view.reports[target_id]
+        same_zone = self._control.groups[target_id].zone == self._zone
+        if self._slots.is_cold(target_id):
+            # This node owns a free slot, so the request will not wait. An
+            # estimate that fades to the mean of the warm targets would make a
+            # target that bears 2 requests look full for ever.
+            load = float(len(target.tracker.in_flight))
+            return routing.Candidate(target_id, load, None, 0, same_zone)
         model = self._control.groups[target_id].model
         returned_ms = self._model(model).ejector.returned_ms(target_id)
         starts = (target.warm_since_ms, returned_ms)
@@ -230,7 +237,7 @@
             load,
             report.bearable,
             target.prefixes.cached_tokens(prefixes),
-            self._control.groups[target_id].zone == self._zone,
+            same_zone,
         )
 
     def may_send(
--- a/packages/node/tests/test_pool.py
+++ b/packages/node/tests/test_pool.py
@@ -87,6 +87,18 @@
                 self.publish(as_of_ms=now_ms + 2)
                 self.assertIn("g5", self.chosen(now_ms + 2))
 
+    def test_cold_target_with_a_slot_is_used_beside_loaded_ones(self) -> None:
+        """A returned target gets no request and never turns warm."""
+        warm = {"running": 60, "bearable": 96}
+        cold = {"state": routing.EngineState.COLD, "bearable": 2}
+        cold |= {"running": 0, "waiting": 0}
+        others = {name: warm for name in self.names if name != "g5"}
+        for now_ms in range(0, 12_000, 1_000):
+            self.pool.apply_control(self.pool._control, now_ms)
+            self.publish(as_of_ms=now_ms, g5=cold, **others)
+        # 1.9 s after the reports the estimates have faded towards the mean.
+        self.assertIn("g5", self.chosen(12_900))
+
     def test_cold_target_loses_its_cache(self) -> None:
         prompt = "a long shared prompt " * 200
         self.pool.sent(1, "g5", prompt, 0)
