Demo: the last line follows the stop of the nodes

Cause: with both streams captured, the nodes' log lines followed the line that README calls the last one. Change: the outcome is printed after the cluster has stopped.

--- a/packages/standins/src/quetzalward_standins/demo.py
+++ b/packages/standins/src/quetzalward_standins/demo.py
@@ -4,6 +4,7 @@
 import time
 import typing
 
+import attrs
 import urllib3
 
 from quetzalward_standins import callers
@@ -29,12 +30,14 @@
     running = cluster.Cluster(spec)
     try:
         running.start()
-        return Demo(running, phase_s).run()
+        outcome = Demo(running, phase_s).run()
     except cluster.ClusterError as error:
         say(str(error))
-        return finish(0, 0, [str(error)])
+        outcome = Outcome(0, 0, (str(error),))
     finally:
         running.stop()
+    # After the stop, so that no node's log line follows the last line.
+    return finish(outcome)
 
 
 def say(text: str) -> None:
@@ -42,12 +45,22 @@
     print(f"demo: {text}", flush=True)
 
 
-def finish(drafts: int, bookings: int, failures: list[str]) -> int:
+@attrs.frozen
+class Outcome:
+    """What the callers saw in the whole demo."""
+
+    drafts: int
+    bookings: int
+    failures: tuple[str, ...]
+
+
+def finish(outcome: Outcome) -> int:
     """Print the failures and the last line; return their number."""
+    failures = outcome.failures
     for failure in failures:
         print(f"demo: failure: {failure}", file=sys.stderr)
     say(
-        f"{drafts} drafts whole, {bookings} bookings once, "
+        f"{outcome.drafts} drafts whole, {outcome.bookings} bookings once, "
         f"{len(failures)} failures"
     )
     return len(failures)
@@ -73,15 +86,15 @@
             self._caller, running.model, DRAFT_TOKENS, CALL_TIMEOUT_S
         )
 
-    def run(self) -> int:
-        """Run all situations and return the number of failures."""
+    def run(self) -> Outcome:
+        """Run all situations and return what the callers saw."""
         self._balancer.start()
         try:
             self._caller.draft(
                 self._cluster.model, "first", 4, WARM_UP_TIMEOUT_S
             )
         except callers.CallFailed as error:
-            return finish(0, 0, [f"no target came into service: {error}"])
+            return Outcome(0, 0, (f"no target came into service: {error}",))
         say("a target is in service; callers start")
         self._load.start(DRAFTERS, BOOKERS, PAUSE_S)
         steps: list[typing.Callable[[], None]] = [
@@ -102,7 +115,8 @@
         tally = self._load.tally
         executions = self._cluster.read("service", "/executions")
         once, wrong = callers.check_bookings(tally.keys, executions)
-        return finish(tally.drafts, once, problems + tally.failures + wrong)
+        failures = (*problems, *tally.failures, *wrong)
+        return Outcome(tally.drafts, once, failures)
 
     def _wait(self) -> None:
         time.sleep(self._phase_s)
