--- a/packages/standins/src/quetzalward_standins/_launcher.py
+++ b/packages/standins/src/quetzalward_standins/_launcher.py
@@ -48,6 +48,8 @@
     running = cluster.Cluster(spec)
     try:
         running.start()
+        # A caller that starts on the printed line should find its model.
+        running.wait_serving()
         print(json.dumps(running.description()), flush=True)
         while not stopped.wait(WAIT_S):
             pass
--- a/packages/standins/src/quetzalward_standins/cluster.py
+++ b/packages/standins/src/quetzalward_standins/cluster.py
@@ -163,6 +163,22 @@
                 raise ClusterError(f"{node.name} is not ready")
             time.sleep(POLL_S)
 
+    def wait_serving(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until the declared replicas serve, or the time is up.
+
+        Ends at once if the node does not tell its groups.
+        """
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            answer = self.operate(self.nodes[0], "GET", "/groups", None)
+            if answer is None or answer.status != 200:
+                return
+            groups = answer.json().get("groups", [])
+            serving = sum(group["state"] == "serving" for group in groups)
+            if serving >= self.spec.replicas:
+                return
+            time.sleep(POLL_S)
+
     def is_ready(self, node: Node) -> bool:
         """Tell whether a node's /readyz gives 200."""
         answer = self._request("GET", f"{node.operators_url}/readyz", None)
