--- a/packages/bench/src/quetzalward_bench/capacity.py
+++ b/packages/bench/src/quetzalward_bench/capacity.py
@@ -13,6 +13,7 @@
 import attrs
 
 from quetzalward_bench import _stats
+from quetzalward_bench import _system
 from quetzalward_core import clock
 from quetzalward_core import config
 from quetzalward_core import formation
@@ -22,11 +23,9 @@
 from quetzalward_node import interfaces
 from quetzalward_standins import cluster
 
-SEED = 1
 MEASURE_S = 20.0
 SETTLE_S = 5.0
 START_TIMEOUT_S = 120.0
-TICKS_PER_S = 100
 DECISIONS = 2_000
 # Requests of a node in the second between two reports at the target size.
 REQUESTS_PER_REPORT = 12
@@ -195,20 +194,6 @@
     return {"ms_by_replicas": dict(points), "slope": slope(points)}
 
 
-def _cpu_s(pid: int) -> float:
-    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
-def _rss_mb(pid: int) -> float:
-    with open(f"/proc/{pid}/status", encoding="ascii") as file:
-        for line in file:
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-    raise ValueError(f"process {pid} has no VmRSS")
-
-
 def _serving(system: cluster.Cluster) -> int:
     answer = system.operate(system.nodes[0], "GET", "/groups", None)
     if answer is None or answer.status != 200:
@@ -232,15 +217,15 @@
 def _usage(system: cluster.Cluster) -> dict[str, float]:
     """Return mean processor share and largest memory of all nodes."""
     pids = [node.pid for node in system.nodes]
-    before = [_cpu_s(pid) for pid in pids]
+    before = [_system.cpu_s(pid) for pid in pids]
     started = time.monotonic()
     time.sleep(MEASURE_S)
     elapsed = time.monotonic() - started
-    used = [_cpu_s(p) - b for p, b in zip(pids, before, strict=True)]
+    used = [_system.cpu_s(p) - b for p, b in zip(pids, before, strict=True)]
     return {
         "cpu_percent_mean": 100 * _stats.mean(used) / elapsed,
         "cpu_percent_max": 100 * max(used) / elapsed,
-        "rss_mb_max": max(_rss_mb(pid) for pid in pids),
+        "rss_mb_max": max(_system.rss_mb(pid) for pid in pids),
     }
 
 
@@ -303,11 +288,11 @@
     )
     sender.start()
     readers = [node.pid for node in system.nodes[1:]]
-    before = [_cpu_s(pid) for pid in readers]
+    before = [_system.cpu_s(pid) for pid in readers]
     started = time.monotonic()
     time.sleep(MEASURE_S)
     elapsed = time.monotonic() - started
-    used = [_cpu_s(p) - b for p, b in zip(readers, before, strict=True)]
+    used = [_system.cpu_s(p) - b for p, b in zip(readers, before, strict=True)]
     stop.set()
     sender.join()
     return {
--- a/packages/core/src/quetzalward_core/membership/__init__.py
+++ b/packages/core/src/quetzalward_core/membership/__init__.py
@@ -13,7 +13,6 @@
 from quetzalward_core.membership._in_force import InForce
 from quetzalward_core.membership._index import node_key
 from quetzalward_core.membership._index import NodeIndex
-from quetzalward_core.membership._membership import InFlight
 from quetzalward_core.membership._membership import MAX_FACT_BYTES
 from quetzalward_core.membership._membership import MAX_STOPS
 from quetzalward_core.membership._membership import Membership
@@ -34,7 +33,6 @@
     "Digest",
     "FRESH_MS",
     "Fact",
-    "InFlight",
     "InForce",
     "Knowledge",
     "MAJORITY",
--- a/packages/core/src/quetzalward_core/membership/_membership.py
+++ b/packages/core/src/quetzalward_core/membership/_membership.py
@@ -294,26 +294,3 @@
             if demand is not None:
                 found[node] = demand
         return found
-
-
-@attrs.define
-class InFlight:
-    """Requests in flight per target, for this node's own use.
-
-    They are not sent to peers: their volume grows with nodes times targets.
-    """
-
-    count_by_target: dict[str, int] = attrs.field(factory=dict)
-
-    def start(self, target: str) -> None:
-        """Count one more request."""
-        count = self.count_by_target.get(target, 0)
-        self.count_by_target[target] = count + 1
-
-    def end(self, target: str) -> None:
-        """Count one request less."""
-        count = self.count_by_target.get(target, 0)
-        if count > 1:
-            self.count_by_target[target] = count - 1
-        else:
-            self.count_by_target.pop(target, None)
