Gateway before the platform's targets, and its adapter

Cause: the product's node speaks its own protocols to targets, log and callers; the platform keeps configuration and targets in a keyed log and its targets form serving groups by themselves. Change: decisions on placing, budgets, groups and election in core; a gateway package on one event loop; an adapter that only translates.

--- /dev/null
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -0,0 +1,27 @@
+"""The duty of coordinating groups, and what nodes tell each other."""
+
+from quetzalward_core.coordination._election import Election
+from quetzalward_core.coordination._election import MAX_STAGGER_MS
+from quetzalward_core.coordination._election import Term
+from quetzalward_core.coordination._election import WEAK_DELAY_MS
+from quetzalward_core.coordination._messages import decode
+from quetzalward_core.coordination._messages import encode
+from quetzalward_core.coordination._messages import GroupEntry
+from quetzalward_core.coordination._messages import GroupWork
+from quetzalward_core.coordination._messages import Outcome
+from quetzalward_core.coordination._messages import Status
+from quetzalward_core.coordination._messages import View
+
+__all__ = [
+    "Election",
+    "GroupEntry",
+    "GroupWork",
+    "MAX_STAGGER_MS",
+    "Outcome",
+    "Status",
+    "Term",
+    "View",
+    "WEAK_DELAY_MS",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -0,0 +1,113 @@
+"""Messages between nodes: a node's status and the coordinator's view.
+
+They are JSON arrays in datagrams; a lost one is replaced by the next, and a
+reader takes nothing from one that it cannot decode.
+"""
+
+import json
+
+import attrs
+
+
+@attrs.frozen
+class GroupWork:
+    """One node's work at a group, or the work of all nodes."""
+
+    group: str
+    epoch: int
+    active: float
+    unread_tokens: float
+    # Time since the last event of any stream; -1 if there was none.
+    event_age_ms: int
+    # The group produces nothing for work that it has.
+    stalled: bool = False
+
+
+@attrs.frozen
+class Outcome:
+    """Answers of a plain target within one interval."""
+
+    target_id: str
+    answered: int
+    failed: int
+    mean_latency_ms: float
+
+
+@attrs.frozen
+class Status:
+    """What a node tells the coordinator."""
+
+    node: str
+    term: int
+    requests: int
+    work: tuple[GroupWork, ...]
+    outcomes: tuple[Outcome, ...]
+    # Targets that an answer named as the cause of a failure.
+    suspects: tuple[str, ...]
+
+
+@attrs.frozen
+class GroupEntry:
+    """A group that takes requests."""
+
+    name: str
+    epoch: int
+    model: str
+    head: str
+
+
+@attrs.frozen
+class View:
+    """What the coordinator tells every node."""
+
+    node: str
+    term: int
+    address: str
+    nodes: int
+    groups: tuple[GroupEntry, ...]
+    work: tuple[GroupWork, ...]
+    outcomes: tuple[Outcome, ...]
+
+
+_STATUS = "status"
+_VIEW = "view"
+
+
+def encode(message: Status | View) -> bytes:
+    """Return the datagram of a message."""
+    kind = _STATUS if isinstance(message, Status) else _VIEW
+    row = attrs.astuple(message)
+    return json.dumps([kind, *row], separators=(",", ":")).encode()
+
+
+def decode(datagram: bytes) -> Status | View:
+    """Return the message of a datagram.
+
+    Raises `ValueError` if it is none.
+    """
+    try:
+        kind, *row = json.loads(datagram)
+        if kind == _STATUS:
+            node, term, requests, work, outcomes, suspects = row
+            return Status(
+                str(node),
+                int(term),
+                int(requests),
+                tuple(GroupWork(*item) for item in work),
+                tuple(Outcome(*item) for item in outcomes),
+                tuple(str(item) for item in suspects),
+            )
+        if kind == _VIEW:
+            node, term, address, nodes, groups, work, outcomes = row
+            return View(
+                str(node),
+                int(term),
+                str(address),
+                int(nodes),
+                tuple(GroupEntry(*item) for item in groups),
+                tuple(GroupWork(*item) for item in work),
+                tuple(Outcome(*item) for item in outcomes),
+            )
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"datagram cannot be decoded: {error}") from error
+    raise ValueError(f"unknown kind of message {kind!r}")
--- /dev/null
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -0,0 +1,142 @@
+"""Orders to targets, their answers, and the state of a serving group."""
+
+import enum
+
+import attrs
+
+from quetzalward_core import charts
+from quetzalward_core import clock
+from quetzalward_core import fleet
+
+
+@attrs.frozen
+class Join:
+    """Makes a target a member of a group."""
+
+    target_id: str
+    group: str
+    epoch: int
+    model: str
+    # The first one is the head.
+    members: tuple[str, ...]
+
+
+@attrs.frozen
+class Open:
+    """Makes a ready head take requests."""
+
+    target_id: str
+    group: str
+    epoch: int
+
+
+@attrs.frozen
+class Close:
+    """Stops a head; `truncate` ends what it still works on."""
+
+    target_id: str
+    group: str
+    epoch: int
+    truncate: bool
+
+
+@attrs.frozen
+class Stage:
+    """Loads a model's weights onto a target's host."""
+
+    target_id: str
+    model: str
+
+
+@attrs.frozen
+class Probe:
+    """Asks a target for its report."""
+
+    target_id: str
+
+
+Order = Join | Open | Close | Stage
+Command = Order | Probe
+
+
+class OrderAnswer(enum.Enum):
+    """What became of an order."""
+
+    BEGUN = "begun"
+    DONE = "done"
+    # The order does not fit the target's state.
+    CONFLICT = "conflict"
+    # The target has seen a higher epoch.
+    STALE = "stale"
+    # Another target answers at the address.
+    WRONG_TARGET = "wrong_target"
+    INVALID = "invalid"
+    # It may still be carried out, even after newer orders.
+    UNANSWERED = "unanswered"
+    UNREACHABLE = "unreachable"
+
+
+class Phase(enum.Enum):
+    """States of the chart `serving_group`."""
+
+    FORMING = "forming"
+    OPENING = "opening"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+@attrs.define
+class Group:
+    """A serving group as its coordinator plans it."""
+
+    name: str
+    model: str
+    size: int
+    domain: str
+    epoch: int
+    members: tuple[str, ...]
+    # Start of each member, so that a restarted one is not taken for it.
+    born_by_id: dict[str, int]
+    phase: Phase
+    since_ms: clock.Millis
+    ready: set[str] = attrs.field(factory=set)
+    ordered_ms_by_id: dict[str, clock.Millis] = attrs.field(factory=dict)
+    accepted: set[str] = attrs.field(factory=set)
+    # First and last report of the present stall.
+    stalled_ms: clock.Millis | None = None
+    stall_reported_ms: clock.Millis | None = None
+
+    @property
+    def head(self) -> str:
+        """Return the id of the target that takes the requests."""
+        return self.members[0]
+
+    def step(self, event: str, now_ms: clock.Millis) -> None:
+        """Move to the phase that the chart gives for an event."""
+        chart = charts.load_chart("serving_group")
+        self.phase = Phase(chart.step(self.phase.value, event))
+        self.since_ms = now_ms
+        self.stall_reported_ms = None
+        self.ordered_ms_by_id.clear()
+
+
+@attrs.define
+class Host:
+    """What the coordinator knows of one target."""
+
+    target: fleet.Target
+    membership: fleet.Membership | None
+    staged: tuple[str, ...]
+    # Last sign of life: an entry, a report or an answer to an order.
+    alive_ms: clock.Millis
+    reported_ms: clock.Millis = -1
+    probed_ms: clock.Millis | None = None
+    suspect_until_ms: clock.Millis = 0
+    staging: str | None = None
+    staging_ms: clock.Millis = 0
+
+    @property
+    def id(self) -> str:
+        """Return the target's id."""
+        return self.target.id
--- /dev/null
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -0,0 +1,95 @@
+"""The life of one request between a caller and the targets."""
+
+
+from quetzalward_core import errors
+from quetzalward_gateway import _ports
+from quetzalward_gateway import _runtime
+from quetzalward_gateway import _server
+from quetzalward_gateway import _streaming
+from quetzalward_gateway import _plain
+
+# Deadline of a request that names none.
+DEFAULT_DEADLINE_MS = 30_000
+
+
+async def handle(
+    runtime: _runtime.Runtime,
+    raw: _server.RawRequest,
+    responder: _server.Responder,
+) -> None:
+    """Answer a caller's request."""
+    request = runtime.platform.decode_request(
+        raw.method, raw.target, raw.headers
+    )
+    runtime.state.requests += 1
+    call = _admit(runtime, raw, request, responder)
+    if isinstance(call, _runtime.Refused):
+        _runtime.refuse(runtime, request, responder, call)
+        return
+    if call.service.engine is not None:
+        await _streaming.StreamExchange(call).run()
+    else:
+        await _plain.run(call)
+
+
+def _admit(
+    runtime: _runtime.Runtime,
+    raw: _server.RawRequest,
+    request: _ports.CallerRequest,
+    responder: _server.Responder,
+) -> _runtime.Call | _runtime.Refused:
+    """Check route and key, and set the request's deadline."""
+    state = runtime.state
+    configuration = state.configuration
+    if configuration is None or not state.directory.complete:
+        return _runtime.Refused(
+            errors.ErrorKind.NODE_ISOLATED, "no configuration yet", 500
+        )
+    route = state.find_route(request.host, request.path)
+    fresh = state.freshness.is_ready(runtime.boot_ms())
+    if route is None:
+        if not fresh:
+            return _runtime.Refused(
+                errors.ErrorKind.NODE_ISOLATED,
+                "no route, and the configuration may be outdated",
+                500,
+            )
+        return _runtime.Refused(errors.ErrorKind.NOT_FOUND, "no route")
+    customer = None
+    if configuration.customer_by_key and not route.anonymous:
+        if not state.freshness.may_serve_keys(runtime.boot_ms()):
+            return _runtime.Refused(
+                errors.ErrorKind.NODE_ISOLATED,
+                "the configuration is too old to trust API keys",
+                500,
+            )
+        customer = configuration.customer_by_key.get(request.api_key or "")
+        if customer is None:
+            if not fresh:
+                return _runtime.Refused(
+                    errors.ErrorKind.NODE_ISOLATED,
+                    "unknown key, and the configuration may be outdated",
+                    500,
+                )
+            return _runtime.Refused(
+                errors.ErrorKind.UNAUTHENTICATED, "unknown API key"
+            )
+    service = state.pick_service(route)
+    if service is None:
+        return _runtime.Refused(
+            errors.ErrorKind.NO_TARGET, "the route has no service", 1000
+        )
+    wait_ms = request.deadline_ms
+    if wait_ms is None:
+        wait_ms = DEFAULT_DEADLINE_MS
+    wait_ms = min(wait_ms, route.timeout_ms or wait_ms)
+    return _runtime.Call(
+        runtime,
+        raw,
+        request,
+        responder,
+        route,
+        service,
+        customer,
+        raw.received_ms + wait_ms,
+    )
--- /dev/null
+++ b/packages/gateway/src/quetzalward_gateway/_peers.py
@@ -0,0 +1,57 @@
+"""Datagrams between nodes."""
+
+import asyncio
+import collections.abc
+import typing
+
+from quetzalward_core import coordination
+from quetzalward_core import fleet
+from quetzalward_gateway import _log
+
+Receiver = collections.abc.Callable[
+    [coordination.Status | coordination.View, fleet.Address], None
+]
+
+
+class PeerSocket(asyncio.DatagramProtocol):
+    """Sends and receives the nodes' messages."""
+
+    def __init__(self, receiver: Receiver, log: _log.EventLog) -> None:
+        """Hand decoded messages to a receiver."""
+        self._receiver = receiver
+        self._log = log
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, address: fleet.Address) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.host, address.port)
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the socket."""
+        self._transport = typing.cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(
+        self, data: bytes, addr: tuple[str | typing.Any, int]
+    ) -> None:
+        """Decode a message; one that cannot be read is logged."""
+        sender = fleet.Address(str(addr[0]), int(addr[1]))
+        try:
+            message = coordination.decode(data)
+        except ValueError as error:
+            self._log.event(
+                "datagram_unreadable", sender=str(sender), reason=str(error)
+            )
+            return
+        self._receiver(message, sender)
+
+    def error_received(self, exc: Exception) -> None:
+        """Log an error that the network reported."""
+        self._log.event("datagram_undelivered", reason=str(exc))
+
+    def send(self, data: bytes, address: fleet.Address) -> None:
+        """Send a message; it may be lost."""
+        if self._transport is not None:
+            self._transport.sendto(data, (address.host, address.port))
