Log refusals; no limit on loads before the first request

Cause: EventLog.event took 'kind' both as its own argument and as a field, so each refusal ended its connection without an answer; and spares stayed unstaged because loads were limited before traffic too. Change: the event's name is positional; the limit holds from the first request on; a fault of the gateway ends one request with 500.

--- a/packages/core/src/quetzalward_core/grouping/_loads.py
+++ b/packages/core/src/quetzalward_core/grouping/_loads.py
@@ -31,12 +31,12 @@
         """Tell whether one more load may begin.
 
         More than `loads_at_once` only slow each other down. Before the
-        first request the platform does not count loads.
+        first request neither limit applies.
         """
-        if running >= engine.loads_at_once:
-            return False
         if before_traffic:
             return True
+        if running >= engine.loads_at_once:
+            return False
         while self._started and self._started[0] <= now_ms - WINDOW_MS:
             self._started.popleft()
         allowed = engine.loads_per_s * WINDOW_MS / 1000 * USED_SHARE
--- a/packages/gateway/src/quetzalward_gateway/_exchange.py
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -1,6 +1,8 @@
 """The life of one request between a caller and the targets."""
 
 
+import traceback
+
 from quetzalward_core import errors
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
@@ -17,7 +19,23 @@
     raw: _server.RawRequest,
     responder: _server.Responder,
 ) -> None:
-    """Answer a caller's request."""
+    """Answer a caller's request; a fault of the gateway ends only this one."""
+    try:
+        await _handle(runtime, raw, responder)
+    except Exception as error:
+        runtime.log.event(
+            "internal_error", reason=traceback.format_exc(), error=repr(error)
+        )
+        if not responder.started:
+            status = errors.ANSWERS[errors.ErrorKind.INTERNAL].status
+            responder.send_whole(status, [], b"")
+
+
+async def _handle(
+    runtime: _runtime.Runtime,
+    raw: _server.RawRequest,
+    responder: _server.Responder,
+) -> None:
     request = runtime.platform.decode_request(
         raw.method, raw.target, raw.headers
     )
--- a/packages/gateway/src/quetzalward_gateway/_log.py
+++ b/packages/gateway/src/quetzalward_gateway/_log.py
@@ -41,9 +41,9 @@
         self._lost = 0
         os.set_blocking(descriptor, False)
 
-    def event(self, kind: str, **fields: typing.Any) -> None:
+    def event(self, event: str, /, **fields: typing.Any) -> None:
         """Write a line unless its kind is over its rate."""
-        rate = self._rates.setdefault(kind, _Rate())
+        rate = self._rates.setdefault(event, _Rate())
         second = self._clock.now_ms() // clock.MILLIS_PER_SECOND
         if rate.second != second:
             rate.second, rate.count = second, 0
@@ -54,7 +54,7 @@
         line = {
             "time_ms": self._clock.wall_ms(),
             "node": self._node,
-            "event": kind,
+            "event": event,
             **fields,
         }
         if rate.dropped:
