Ask spares for a report before they join a group

Cause: the store records an entry only when it changes, so an unchanged entry is no sign of life. Repairs waited for heartbeats that never came and broken groups stayed broken until the coordinator changed. The tests of groups failed first with a stand-in that keeps silent about unchanged entries. Ruled out: missing spares; the log shows all 54 hosts staged.

--- a/packages/core/src/quetzalward_core/grouping/__init__.py
+++ b/packages/core/src/quetzalward_core/grouping/__init__.py
@@ -6,6 +6,7 @@
 from quetzalward_core.grouping._model import Command
 from quetzalward_core.grouping._model import Group
 from quetzalward_core.grouping._model import Join
+from quetzalward_core.grouping._model import Leave
 from quetzalward_core.grouping._model import Open
 from quetzalward_core.grouping._model import Order
 from quetzalward_core.grouping._model import OrderAnswer
@@ -20,6 +21,7 @@
     "EPOCHS_PER_TERM",
     "Group",
     "Join",
+    "Leave",
     "Open",
     "Order",
     "OrderAnswer",
--- a/packages/core/src/quetzalward_core/grouping/_coordinator.py
+++ b/packages/core/src/quetzalward_core/grouping/_coordinator.py
@@ -31,8 +31,8 @@
 STAGING_SLACK_MS = 10_000
 # A group that is not open after this time is formed anew.
 FORMING_LIMIT_MS = 8_000
-# An entry that was not renewed for so long is a doubtful replacement.
-FRESH_ENTRY_MS = 2_600
+# A sign of life this old no longer proves that a target can join.
+CERTAIN_MS = 1_500
 # A silent group whose members all answer is formed anew after this time;
 # the engine itself notices a lost member only after several seconds.
 STALL_PATIENCE_MS = 1_000
@@ -48,6 +48,9 @@
         fleet.MemberState.CLOSING,
     )
 )
+_CARRIED_OUT = frozenset(
+    (_model.OrderAnswer.BEGUN, _model.OrderAnswer.DONE)
+)
 _TAKING_STATES = frozenset(
     (fleet.MemberState.OPEN, fleet.MemberState.CLOSING)
 )
@@ -70,7 +73,7 @@
         self._group_by_member: dict[str, _model.Group] = {}
         self._loads = _loads.LoadLimit()
         self._adopted = False
-        self._closed_ms_by_id: dict[str, clock.Millis] = {}
+        self._left_ms_by_id: dict[str, clock.Millis] = {}
         self._arrived_ms = now_ms
 
     # What is known of the targets.
@@ -147,21 +150,19 @@
             if answer is not _model.OrderAnswer.BEGUN:
                 host.staging = None
             return
+        if isinstance(order, _model.Leave):
+            left = answer in _CARRIED_OUT
+            if left and self._is_in(host, order.group, order.epoch):
+                host.membership = None
+                host.reported_ms = now_ms
+            return
         group = self.group_by_name.get(order.group)
         if group is None or group.epoch != order.epoch:
             return
         if answer is _model.OrderAnswer.STALE:
             # A higher epoch is known there: this one can never be complete.
             self._break(group, now_ms)
-        elif isinstance(order, _model.Join) and answer in (
-            _model.OrderAnswer.BEGUN,
-            _model.OrderAnswer.DONE,
-        ):
-            group.accepted.add(order.target_id)
-        elif isinstance(order, _model.Open) and answer in (
-            _model.OrderAnswer.BEGUN,
-            _model.OrderAnswer.DONE,
-        ):
+        elif answer in _CARRIED_OUT and not isinstance(order, _model.Close):
             group.accepted.add(order.target_id)
 
     def doubt(
@@ -221,7 +222,7 @@
         commands: list[_model.Command] = []
         for group in list(self.group_by_name.values()):
             self._advance(group, now_ms, commands)
-        self._close_strangers(now_ms, commands)
+        self._release_strangers(now_ms, commands)
         self._reform(engine, now_ms, commands)
         for group in self.group_by_name.values():
             if group.phase is _model.Phase.FORMING:
@@ -426,11 +427,15 @@
         group.accepted.clear()
 
     def _is_member(self, group: _model.Group, host: _model.Host) -> bool:
+        return self._is_in(host, group.name, group.epoch)
+
+    @staticmethod
+    def _is_in(host: _model.Host, name: str, epoch: int) -> bool:
         joined = host.membership
         return (
             joined is not None
-            and joined.group == group.name
-            and joined.epoch == group.epoch
+            and joined.group == name
+            and joined.epoch == epoch
         )
 
     def _member_state(
@@ -487,44 +492,29 @@
                     )
                 )
 
-    def _close_strangers(
+    def _release_strangers(
         self, now_ms: clock.Millis, commands: list[_model.Command]
     ) -> None:
-        """Close heads that take requests for a group nobody plans."""
+        """Make targets leave groups that nobody plans.
+
+        A target must not join another group while the head of its own may
+        still take requests, and a head that cannot be seen may do so; once
+        it has left, it is free whatever its head does.
+        """
         for host in self.host_by_id.values():
             joined = host.membership
-            if joined is None or joined.state not in _TAKING_STATES:
+            if joined is None:
                 continue
             group = self._group_by_member.get(host.id)
             if group is not None and group.name == joined.group:
                 continue
-            last = self._closed_ms_by_id.get(host.id)
+            last = self._left_ms_by_id.get(host.id)
             if last is None or now_ms - last >= RESEND_MS:
-                self._closed_ms_by_id[host.id] = now_ms
+                self._left_ms_by_id[host.id] = now_ms
                 commands.append(
-                    _model.Close(host.id, joined.group, joined.epoch, True)
+                    _model.Leave(host.id, joined.group, joined.epoch)
                 )
 
-    def _is_released(self, host: _model.Host) -> bool:
-        """Tell whether a target may join another group.
-
-        It may not while the head of its group takes requests or stands
-        still without having noticed that a member is gone.
-        """
-        joined = host.membership
-        if joined is None:
-            return True
-        for other in self.host_by_id.values():
-            seat = other.membership
-            if (
-                seat is not None
-                and seat.group == joined.group
-                and seat.epoch == joined.epoch
-                and seat.rank == 0
-            ):
-                return seat.state not in _TAKING_STATES
-        return True
-
     # Formation.
 
     def _reform(
@@ -584,8 +574,7 @@
             host
             for host in hosts
             if host.id not in self._group_by_member
-            and now_ms - host.alive_ms <= FRESH_ENTRY_MS
-            and self._is_released(host)
+            and host.membership is None
         ]
 
     def _repair(
@@ -597,14 +586,6 @@
     ) -> None:
         """Form a broken group anew from its survivors and staged spares."""
         survivors = self._survivors(group, now_ms)
-        unsure = [
-            host for host in survivors if host.alive_ms < group.since_ms
-        ]
-        if unsure:
-            # A silent member is told from a living one by a report.
-            for host in unsure:
-                self._probe(host.id, now_ms, commands)
-            return
         spares = [
             host
             for host in self._free(
@@ -612,12 +593,21 @@
             )
             if group.model in host.staged
         ]
-        missing = group.size - len(survivors)
-        if missing > len(spares):
-            return
+        missing = max(0, group.size - len(survivors))
         spares.sort(key=lambda host: (-host.alive_ms, host.id))
-        members = [*survivors, *spares[: max(0, missing)]][: group.size]
-        self._renew(group, members, now_ms)
+        members = [*survivors, *spares[:missing]][: group.size]
+        # Entries are only written when they change: a silent target is told
+        # from a living one by a report.
+        unsure = [
+            host
+            for host in members
+            if host.alive_ms < group.since_ms
+            or now_ms - host.alive_ms > CERTAIN_MS
+        ]
+        for host in unsure:
+            self._probe(host.id, now_ms, commands)
+        if not unsure and len(members) == group.size:
+            self._renew(group, members, now_ms)
 
     def _renew(
         self,
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -40,6 +40,15 @@
     truncate: bool
 
 
+@attrs.frozen
+class Leave:
+    """Ends a target's membership at once."""
+
+    target_id: str
+    group: str
+    epoch: int
+
+
 @attrs.frozen
 class Stage:
     """Loads a model's weights onto a target's host."""
@@ -55,7 +64,7 @@
     target_id: str
 
 
-Order = Join | Open | Close | Stage
+Order = Join | Open | Close | Leave | Stage
 Command = Order | Probe
 
 
--- /dev/null
+++ b/packages/core/tests/grouping/test_coordinator.py
@@ -0,0 +1,100 @@
+"""Groups are formed, repaired and handed over without breaking a rule."""
+
+import unittest
+
+from grouping import builders
+from quetzalward_core import grouping
+
+
+class FormationTest(unittest.TestCase):
+    """Guards against a fleet that is not serving when traffic starts."""
+
+    def test_forms_both_models_before_traffic(self) -> None:
+        """A fleet of 54 hosts forms in less than the 12 s of the lead."""
+        world = builders.World()
+        world.run(6_000)
+        self.assertEqual({"large": 6, "small": 6}, world.open_by_model())
+        self.assertEqual([], world.fleet.breaches)
+
+    def test_spares_hold_weights(self) -> None:
+        """Hosts out of groups are staged for a model with groups."""
+        world = builders.World()
+        world.run(8_000)
+        staged = [t.staged for t in world.fleet.target_by_id.values()]
+        self.assertNotIn([], staged)
+
+
+class RepairTest(unittest.TestCase):
+    """Guards against broken groups that stay broken."""
+
+    def setUp(self) -> None:
+        """Start with a formed fleet under traffic."""
+        self.world = builders.World()
+        self.world.run(8_000)
+        self.world.start_traffic()
+
+    def test_lost_member_is_replaced_by_a_staged_spare(self) -> None:
+        """A spare joins within its warm time, without a load."""
+        member = self.world.member("large")
+        self.world.fleet.kill(member)
+        self.world.coordinator.reported(member, None, self.world.fleet.now_ms)
+        self.world.run(4_500)
+        self.assertEqual({"large": 6, "small": 6}, self.world.open_by_model())
+        self.assertEqual([], self.world.fleet.breaches)
+
+    def test_lost_head_is_replaced(self) -> None:
+        """The survivors of a dead head form the group anew."""
+        head = self.world.member("small", rank=0)
+        self.world.fleet.kill(head)
+        self.world.coordinator.reported(head, None, self.world.fleet.now_ms)
+        self.world.run(4_500)
+        self.assertEqual({"large": 6, "small": 6}, self.world.open_by_model())
+        self.assertEqual([], self.world.fleet.breaches)
+
+    def test_successor_repairs_what_broke(self) -> None:
+        """A new term adopts whole groups and repairs the others."""
+        self.world.fleet.kill(self.world.member("large"))
+        self.world.elect()
+        self.world.run(8_000)
+        self.assertEqual({"large": 6, "small": 6}, self.world.open_by_model())
+        self.assertEqual([], self.world.fleet.breaches)
+
+    def test_draining_member_closes_its_group_first(self) -> None:
+        """A group with a leaving member is closed and formed anew."""
+        member = self.world.member("large")
+        self.world.fleet.target_by_id[member].draining = True
+        self.world.run(4_000)
+        self.assertEqual({"large": 6, "small": 6}, self.world.open_by_model())
+        for group in self.world.coordinator.open_groups():
+            self.assertNotIn(member, group.members)
+
+    def test_members_leave_before_another_group_takes_them(self) -> None:
+        """A head cut off from the store keeps its group open meanwhile."""
+        groups = [
+            group
+            for group in self.world.coordinator.open_groups()
+            if group.domain == "d0"
+        ]
+        for group in groups:
+            self.world.fleet.target_by_id[group.head].unlisted = True
+        self.world.run(9_000)
+        self.assertEqual([], self.world.fleet.breaches)
+
+    def test_silent_group_with_living_members_is_formed_anew(self) -> None:
+        """A member that lost its head is not found by asking it."""
+        group = self.world.coordinator.open_groups()[0]
+        epoch = group.epoch
+        for _ in range(30):
+            self.world.run(50)
+            if group.epoch != epoch:
+                break
+            for command in self.world.coordinator.stalled(
+                group.name, epoch, self.world.fleet.now_ms
+            ):
+                self.world.carry_out(self.world.coordinator, command)
+        self.assertGreater(group.epoch, epoch)
+        self.assertIs(grouping.Phase.FORMING, group.phase)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -21,7 +21,8 @@
 UNLISTED_MS = 3_200
 # Time before the kill within which the last answers are broken off.
 EXIT_MARGIN_MS = 500
-FORMING_INTERVAL_MS = 150
+# The coordinator acts on each change of a target it waits for.
+COORDINATOR_INTERVAL_MS = 60
 _LOOK_S = 0.05
 
 
@@ -61,8 +62,8 @@
         )
 
     def _targets_interval_ms(self) -> clock.Millis:
-        if self._duty.is_forming():
-            return FORMING_INTERVAL_MS
+        if self._duty.is_holder:
+            return COORDINATOR_INTERVAL_MS
         return _sync.TARGETS_INTERVAL_MS
 
     async def run(self) -> None:
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -80,13 +80,6 @@
         """Tell whether this node coordinates."""
         return self._election.holds(self._term)
 
-    def is_forming(self) -> bool:
-        """Tell whether this node waits for targets to change."""
-        return self.is_holder and any(
-            coordinator.is_changing() or coordinator.before_traffic
-            for coordinator in self._coordinator_by_service.values()
-        )
-
     async def run(self) -> None:
         """Take part until cancelled."""
         await self._socket.start(self._settings.peers)
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -11,9 +11,11 @@
 # A read waits so long for a change; its end proves the configuration fresh,
 # so it stays well below the bound on revoked keys.
 OPERATIONS_WAIT_MS = 1_200
-# A target that leaves must get nothing after 2 s at the strictest.
-TARGETS_INTERVAL_MS = 500
-TARGETS_WAIT_MS = 200
+# A read returns with the next change of any target; reads are spaced, so
+# that many changes cost few calls. A target that leaves must get nothing
+# after 2 s at the strictest.
+TARGETS_INTERVAL_MS = 250
+TARGETS_WAIT_MS = 1_500
 # After an error: at once, then slower; a busy store is not pressed harder.
 FIRST_RETRY_MS = 60
 MAX_RETRY_MS = 500
@@ -184,16 +186,7 @@
 
     async def _pause(self) -> None:
         self._expire()
-        until_ms = self._runtime.now_ms() + self._interval_ms()
-        while True:
-            # The interval may shrink while a group is being formed.
-            left = until_ms - self._runtime.now_ms()
-            if left <= 0:
-                return
-            await asyncio.sleep(min(left, 100) / clock.MILLIS_PER_SECOND)
-            until_ms = min(
-                until_ms, self._runtime.now_ms() + self._interval_ms()
-            )
+        await asyncio.sleep(self._interval_ms() / clock.MILLIS_PER_SECOND)
 
     def _take_all(self, page: _ports.Page, sent_ms: clock.Millis) -> None:
         runtime = self._runtime
