Believe a removal that ends a long wait at the store

Change: an outage is the time between an answer and the sending of the next answered call. Test: test_long_wait_for_a_change_is_no_outage fails without the change. Ruled out: lost records; the removal was read at once.

--- a/packages/core/src/quetzalward_core/fleet/_directory.py
+++ b/packages/core/src/quetzalward_core/fleet/_directory.py
@@ -33,10 +33,14 @@
         self._believe_ms: clock.Millis = 0
         self.complete = False
 
-    def contacted(self, now_ms: clock.Millis) -> None:
-        """Note an answer of the store; a late one ends an outage."""
+    def contacted(self, sent_ms: clock.Millis, now_ms: clock.Millis) -> None:
+        """Note an answer of the store to a call sent at `sent_ms`.
+
+        A call that waits for a change may take seconds; only the time
+        without any call in progress that was answered is an outage.
+        """
         last = self._contact_ms
-        if last is not None and now_ms - last >= OUTAGE_MS:
+        if last is not None and sent_ms - last >= OUTAGE_MS:
             self._believe_ms = now_ms + RETURN_GRACE_MS
         self._contact_ms = now_ms
 
--- a/packages/core/tests/fleet/test_fleet.py
+++ b/packages/core/tests/fleet/test_fleet.py
@@ -86,9 +86,9 @@
     def test_entry_that_lapses_in_an_outage_may_return(self) -> None:
         """Within two seconds of the return, a lapse is not believed."""
         directory = fleet.Directory()
-        directory.contacted(0)
+        directory.contacted(0, 0)
         directory.replace([target("a"), target("b")], 0)
-        directory.contacted(6_000)
+        directory.contacted(5_990, 6_000)
         self.assertFalse(directory.remove("a", 6_000))
         self.assertFalse(directory.remove("b", 6_000))
         directory.put(target("a"), 7_000)
@@ -100,11 +100,19 @@
         """Without an outage a removal counts at once."""
         directory = fleet.Directory()
         for now_ms in range(0, 3_000, 500):
-            directory.contacted(now_ms)
+            directory.contacted(now_ms - 10, now_ms)
         directory.put(target("a"), 2_500)
         self.assertTrue(directory.remove("a", 2_600))
         self.assertIsNone(directory.get("a"))
 
+    def test_long_wait_for_a_change_is_no_outage(self) -> None:
+        """A removal that ends a read of several seconds counts at once."""
+        directory = fleet.Directory()
+        directory.contacted(0, 10)
+        directory.put(target("a"), 10)
+        directory.contacted(1_010, 3_500)
+        self.assertTrue(directory.remove("a", 3_500))
+
     def test_cold_start_runs_down(self) -> None:
         """The time left counts from when the entry was read."""
         directory = fleet.Directory()
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -30,6 +30,7 @@
         self._offset: int | None = None
         self._failing_since_ms: clock.Millis | None = None
         self._retry_ms = FIRST_RETRY_MS
+        self._called_ms = 0
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -49,6 +50,7 @@
     async def _step(self) -> None:
         log = self._runtime.platform.log
         sent_ms = self._runtime.boot_ms()
+        self._called_ms = self._runtime.now_ms()
         if self._offset is None:
             page = await log.newest(self._topic)
             self._take_all(page, sent_ms)
@@ -191,7 +193,7 @@
     def _take_all(self, page: _ports.Page, sent_ms: clock.Millis) -> None:
         runtime = self._runtime
         now_ms = runtime.now_ms()
-        runtime.state.directory.contacted(now_ms)
+        runtime.state.directory.contacted(self._called_ms, now_ms)
         targets = []
         for record in page.records:
             target = runtime.platform.decode_target(record)
@@ -209,7 +211,7 @@
         runtime = self._runtime
         now_ms = runtime.now_ms()
         directory = runtime.state.directory
-        directory.contacted(now_ms)
+        directory.contacted(self._called_ms, now_ms)
         for record in page.records:
             if record.value is None:
                 if directory.remove(record.key, now_ms):
