The coordinator relays what it reads from the store

Change: the coordinator's view carries the targets' records of the last 1.5 s and the age of its proof that the configuration is the newest; a node reads by itself only when that is older than a second, or when a configuration has changed. The proof's age counts from the node's own clock, repeated in the view, so that a suspended machine does not trust it. Ruled out: longer waits at the store; they delay the notice of a lost store and save less.

--- a/packages/core/src/quetzalward_core/coordination/__init__.py
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -9,8 +9,12 @@
 from quetzalward_core.coordination._messages import GroupEntry
 from quetzalward_core.coordination._messages import GroupWork
 from quetzalward_core.coordination._messages import Outcome
+from quetzalward_core.coordination._messages import RelayedRecord
+from quetzalward_core.coordination._messages import split_echo
 from quetzalward_core.coordination._messages import Status
+from quetzalward_core.coordination._messages import StoreView
 from quetzalward_core.coordination._messages import View
+from quetzalward_core.coordination._messages import with_echo
 
 __all__ = [
     "Election",
@@ -18,10 +22,14 @@
     "GroupWork",
     "MAX_STAGGER_MS",
     "Outcome",
+    "RelayedRecord",
     "Status",
+    "StoreView",
     "Term",
     "View",
     "WEAK_DELAY_MS",
     "decode",
     "encode",
+    "split_echo",
+    "with_echo",
 ]
--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import typing
 import zlib
 
 import attrs
@@ -40,6 +41,8 @@
 
     node: str
     term: int
+    # The sender's clock, which the next view to it repeats.
+    sent_ms: int
     requests: int
     work: tuple[GroupWork, ...]
     outcomes: tuple[Outcome, ...]
@@ -57,6 +60,28 @@
     head: str
 
 
+@attrs.frozen
+class RelayedRecord:
+    """A record of the targets' topic, as the store holds it."""
+
+    offset: int
+    key: str
+    # `None` if the key was dropped.
+    value: str | None
+
+
+@attrs.frozen
+class StoreView:
+    """What the coordinator last read from the store, and how long ago."""
+
+    operations_end: int
+    operations_age_ms: int
+    targets_end: int
+    targets_age_ms: int
+    # The targets' records of the last moments, up to `targets_end`.
+    targets: tuple[RelayedRecord, ...]
+
+
 @attrs.frozen
 class View:
     """What the coordinator tells every node."""
@@ -68,12 +93,16 @@
     groups: tuple[GroupEntry, ...]
     work: tuple[GroupWork, ...]
     outcomes: tuple[Outcome, ...]
+    store: StoreView | None = None
 
 
 # A longer message would not fit one packet of most networks.
 PLAIN_BYTES = 1_200
 MAX_BYTES = 1_000_000
 
+# Neither JSON nor compressed data begins with digits and this mark.
+_ECHO_END = b";"
+
 _STATUS = "status"
 _VIEW = "view"
 
@@ -88,6 +117,31 @@
     return data
 
 
+def _store_view(row: list[typing.Any]) -> StoreView:
+    """Return the part of a view about the store."""
+    operations_end, operations_age, targets_end, targets_age, records = row
+    return StoreView(
+        int(operations_end),
+        int(operations_age),
+        int(targets_end),
+        int(targets_age),
+        tuple(RelayedRecord(*item) for item in records),
+    )
+
+
+def with_echo(datagram: bytes, sent_ms: int) -> bytes:
+    """Return a view's datagram for the node whose status was `sent_ms`."""
+    return b"%d%s%s" % (sent_ms, _ECHO_END, datagram)
+
+
+def split_echo(datagram: bytes) -> tuple[int | None, bytes]:
+    """Return the repeated clock of a view, if it has one, and the rest."""
+    head, mark, rest = datagram.partition(_ECHO_END)
+    if not mark or not head.isdigit():
+        return None, datagram
+    return int(head), rest
+
+
 def _expand(datagram: bytes) -> bytes:
     """Return the text of a datagram, which may be compressed."""
     if datagram.startswith(b"["):
@@ -107,17 +161,18 @@
     try:
         kind, *row = json.loads(_expand(datagram))
         if kind == _STATUS:
-            node, term, requests, work, outcomes, suspects = row
+            node, term, sent_ms, requests, work, outcomes, suspects = row
             return Status(
                 str(node),
                 int(term),
+                int(sent_ms),
                 int(requests),
                 tuple(GroupWork(*item) for item in work),
                 tuple(Outcome(*item) for item in outcomes),
                 tuple(str(item) for item in suspects),
             )
         if kind == _VIEW:
-            node, term, address, nodes, groups, work, outcomes = row
+            node, term, address, nodes, groups, work, outcomes, store = row
             return View(
                 str(node),
                 int(term),
@@ -126,6 +181,7 @@
                 tuple(GroupEntry(*item) for item in groups),
                 tuple(GroupWork(*item) for item in work),
                 tuple(Outcome(*item) for item in outcomes),
+                None if store is None else _store_view(store),
             )
     except (TypeError, ValueError) as error:
         raise ValueError(f"datagram cannot be decoded: {error}") from error
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -129,9 +129,22 @@
             (coordination.GroupEntry("g", 1, "m", "t"),),
             (coordination.GroupWork("g", 1, 2.0, 30.0, 5, False),),
             (coordination.Outcome("t", 3, 1, 20.0),),
+            coordination.StoreView(
+                4, 100, 9, 50, (coordination.RelayedRecord(8, "t", None),)
+            ),
         )
         self.assertEqual(view, coordination.decode(coordination.encode(view)))
 
+    def test_echo_is_split_from_any_view(self) -> None:
+        """The repeated clock is found before plain and compressed views."""
+        for groups in (0, 300):
+            entry = coordination.GroupEntry("g", 1, "m", "t")
+            view = coordination.View("a", 3, "a", 7, (entry,) * groups, (), ())
+            data = coordination.encode(view)
+            self.assertEqual((None, data), coordination.split_echo(data))
+            echoed = coordination.with_echo(data, 123)
+            self.assertEqual((123, data), coordination.split_echo(echoed))
+
     @hypothesis.given(st.binary(max_size=80))
     def test_any_datagram_is_refused_or_read(self, data: bytes) -> None:
         """Bytes that are no message raise `ValueError` and nothing else."""
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -21,8 +21,6 @@
 UNLISTED_MS = 3_200
 # Time before the kill within which the last answers are broken off.
 EXIT_MARGIN_MS = 500
-# The coordinator acts on each change of a target it waits for.
-COORDINATOR_INTERVAL_MS = 60
 _LOOK_S = 0.05
 
 
@@ -44,7 +42,13 @@
             self._handle, state.limits, time_source.now_ms
         )
         self._readiness = _server.ReadinessServer(self._is_ready)
-        self._duty = _duty.DutyTask(self.runtime, settings)
+        self._operations = _sync.OperationsFollower(
+            self.runtime, self._is_holder
+        )
+        self._targets = _sync.TargetsFollower(self.runtime, self._is_holder)
+        self._duty = _duty.DutyTask(
+            self.runtime, settings, self._operations, self._targets
+        )
         self._stopping = False
 
     async def _handle(
@@ -61,10 +65,8 @@
             and state.freshness.is_ready(self.runtime.boot_ms())
         )
 
-    def _targets_interval_ms(self) -> clock.Millis:
-        if self._duty.is_holder:
-            return COORDINATOR_INTERVAL_MS
-        return _sync.TARGETS_INTERVAL_MS
+    def _is_holder(self) -> bool:
+        return self._duty.is_holder
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is in flight."""
@@ -78,8 +80,8 @@
         await self._callers.start(self._settings.callers)
         await self._readiness.start(self._settings.readiness)
         followers = (
-            _sync.OperationsFollower(self.runtime),
-            _sync.TargetsFollower(self.runtime, self._targets_interval_ms),
+            self._operations,
+            self._targets,
             self._duty,
         )
         tasks = [loop.create_task(task.run()) for task in followers]
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -15,6 +15,7 @@
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _settings
+from quetzalward_gateway import _sync
 
 TICK_MS = 50
 # A node that was silent for so long no longer counts.
@@ -45,9 +46,15 @@
     """Holds or follows the coordinator's duty."""
 
     def __init__(
-        self, runtime: _runtime.Runtime, settings: _settings.Settings
+        self,
+        runtime: _runtime.Runtime,
+        settings: _settings.Settings,
+        operations: _sync.OperationsFollower,
+        targets: _sync.TargetsFollower,
     ) -> None:
         """Start as a follower that knows no term."""
+        self._operations = operations
+        self._targets = targets
         self._runtime = runtime
         self._settings = settings
         weak = (
@@ -95,8 +102,9 @@
 
     def _received(
         self,
-        message: coordination.Status | coordination.View,
+        message: _peers.Message,
         sender: fleet.Address,
+        echo_ms: int | None,
     ) -> None:
         now_ms = self._runtime.now_ms()
         if message.node == self._settings.node:
@@ -112,12 +120,15 @@
         if held and not self.is_holder:
             self._resign("a later term was heard")
         self._runtime.state.apply_view(message, now_ms)
+        if message.store is not None:
+            self._operations.relayed(message.store, echo_ms)
+            self._targets.relayed(message.store, echo_ms)
 
     def _send(self, now_ms: clock.Millis) -> None:
         term = self._election.term
         state = self._runtime.state
         number = term.number if term else 0
-        status = state.status(number, now_ms)
+        status = state.status(number, now_ms, self._runtime.boot_ms())
         if self.is_holder:
             own = _Node(status, self._settings.peers, now_ms)
             self._node_by_name[self._settings.node] = own
@@ -126,7 +137,8 @@
             data = coordination.encode(view)
             for node in self._node_by_name.values():
                 if node is not own:
-                    self._socket.send(data, node.address)
+                    echoed = coordination.with_echo(data, node.status.sent_ms)
+                    self._socket.send(echoed, node.address)
         elif term is not None and term.address:
             host, _, port = term.address.rpartition(":")
             address = fleet.Address(host, int(port))
@@ -157,6 +169,17 @@
             groups,
             tuple(self._work(now_ms)),
             tuple(outcomes),
+            self._store_view(),
+        )
+
+    def _store_view(self) -> coordination.StoreView | None:
+        """Return what was last read from the store, for the other nodes."""
+        operations = self._operations.position()
+        targets = self._targets.position()
+        if operations is None or targets is None:
+            return None
+        return coordination.StoreView(
+            *operations, *targets, self._targets.recent()
         )
 
     def _work(self, now_ms: clock.Millis) -> list[coordination.GroupWork]:
--- a/packages/gateway/src/quetzalward_gateway/_peers.py
+++ b/packages/gateway/src/quetzalward_gateway/_peers.py
@@ -8,9 +8,9 @@
 from quetzalward_core import fleet
 from quetzalward_gateway import _log
 
-Receiver = collections.abc.Callable[
-    [coordination.Status | coordination.View, fleet.Address], None
-]
+Message = coordination.Status | coordination.View
+# Takes the message, its sender and the clock that a view repeats.
+Receiver = collections.abc.Callable[[Message, fleet.Address, int | None], None]
 
 
 class PeerSocket(asyncio.DatagramProtocol):
@@ -38,6 +38,7 @@
     ) -> None:
         """Decode a message; one that cannot be read is logged."""
         sender = fleet.Address(str(addr[0]), int(addr[1]))
+        echo_ms, data = coordination.split_echo(data)
         try:
             message = coordination.decode(data)
         except ValueError as error:
@@ -45,7 +46,7 @@
                 "datagram_unreadable", sender=str(sender), reason=str(error)
             )
             return
-        self._receiver(message, sender)
+        self._receiver(message, sender, echo_ms)
 
     def error_received(self, exc: Exception) -> None:
         """Log an error that the network reported."""
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -309,7 +309,9 @@
         else:
             row[1] += 1
 
-    def status(self, term: int, now_ms: clock.Millis) -> coordination.Status:
+    def status(
+        self, term: int, now_ms: clock.Millis, boot_ms: clock.Millis
+    ) -> coordination.Status:
         """Return this node's status and start the next interval."""
         work = []
         for (name, epoch), load in self.load_by_group.items():
@@ -344,6 +346,7 @@
         return coordination.Status(
             self._settings.node,
             term,
+            boot_ms,
             self.requests,
             tuple(work),
             outcomes,
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -1,9 +1,13 @@
 """Tasks that follow the platform's store."""
 
 import asyncio
+import collections
 import collections.abc
 
+import attrs
+
 from quetzalward_core import clock
+from quetzalward_core import coordination
 from quetzalward_core import fleet
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
@@ -16,6 +20,14 @@
 # after 2 s at the strictest.
 TARGETS_INTERVAL_MS = 1_000
 TARGETS_WAIT_MS = 2_500
+# The coordinator's reads are shorter, since the other nodes rely on them.
+HOLDER_WAIT_MS = 500
+HOLDER_INTERVAL_MS = 60
+# A node reads by itself if what the coordinator relays is older than this.
+RELAY_MAX_AGE_MS = 1_000
+RELAY_LOOK_MS = 100
+# Records are relayed for so long; a node that missed more reads the store.
+RELAY_MS = 1_500
 # After an error: at once, then slower; a busy store is not pressed harder.
 FIRST_RETRY_MS = 60
 MAX_RETRY_MS = 500
@@ -24,8 +36,15 @@
 class _Follower:
     """Follows one keyed topic, over lost history and lost connections."""
 
-    def __init__(self, runtime: _runtime.Runtime, topic: str) -> None:
+    def __init__(
+        self,
+        runtime: _runtime.Runtime,
+        topic: str,
+        is_holder: collections.abc.Callable[[], bool],
+    ) -> None:
         self._runtime = runtime
+        self._is_holder = is_holder
+        self._wake = asyncio.Event()
         self._topic = topic
         self._offset: int | None = None
         self._failing_since_ms: clock.Millis | None = None
@@ -35,6 +54,9 @@
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
+            if self._is_relayed():
+                await self._rest()
+                continue
             try:
                 await self._step()
             except _ports.HistoryLost:
@@ -58,8 +80,10 @@
             return
         wait_ms = self._wait_ms()
         page = await log.read(self._topic, self._offset, wait_ms)
-        self._offset = page.end
-        self._take(page, sent_ms, wait_ms)
+        # The coordinator may have relayed some of the records meanwhile.
+        fresh = [r for r in page.records if r.offset >= self._offset]
+        self._offset = max(self._offset, page.end)
+        self._take(attrs.evolve(page, records=tuple(fresh)), sent_ms, wait_ms)
 
     async def _failed(self, error: _ports.StoreError) -> None:
         now_ms = self._runtime.now_ms()
@@ -81,6 +105,20 @@
         self._failing_since_ms = None
         self._retry_ms = FIRST_RETRY_MS
 
+    def _is_relayed(self) -> bool:
+        """Tell whether the coordinator's reads make an own one needless."""
+        raise NotImplementedError
+
+    async def _rest(self) -> None:
+        """Wait a moment, or until the coordinator reads something new."""
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(RELAY_LOOK_MS / 1000):
+                await self._wake.wait()
+        except TimeoutError:
+            # Nothing new; the caller looks again.
+            return
+
     def _wait_ms(self) -> clock.Millis:
         raise NotImplementedError
 
@@ -102,12 +140,51 @@
 class OperationsFollower(_Follower):
     """Takes configurations and evacuations."""
 
-    def __init__(self, runtime: _runtime.Runtime) -> None:
+    def __init__(
+        self,
+        runtime: _runtime.Runtime,
+        is_holder: collections.abc.Callable[[], bool],
+    ) -> None:
         """Follow the operators' topic."""
-        super().__init__(runtime, runtime.platform.operations_topic)
+        super().__init__(runtime, runtime.platform.operations_topic, is_holder)
+        self._relayed_end = -1
+
+    def position(self) -> tuple[int, clock.Millis] | None:
+        """Return the offset read up to, and the age of its proof."""
+        age_ms = self._runtime.state.freshness.age_ms(self._runtime.boot_ms())
+        if self._offset is None or age_ms is None:
+            return None
+        return self._offset, age_ms
+
+    def relayed(
+        self, view: coordination.StoreView, echo_ms: clock.Millis | None
+    ) -> None:
+        """Take the coordinator's proof that nothing newer exists.
+
+        Its age counts from when this node sent the status that the view
+        answers; when the view arrived proves nothing, since a suspended
+        machine reads it late.
+        """
+        self._relayed_end = view.operations_end
+        if view.operations_end == self._offset and echo_ms is not None:
+            self._runtime.state.freshness.confirm(
+                echo_ms - view.operations_age_ms
+            )
+        else:
+            self._wake.set()
+
+    def _is_relayed(self) -> bool:
+        if self._is_holder() or self._offset is None:
+            return False
+        age_ms = self._runtime.state.freshness.age_ms(self._runtime.boot_ms())
+        return (
+            age_ms is not None
+            and age_ms <= RELAY_MAX_AGE_MS
+            and self._relayed_end <= self._offset
+        )
 
     def _wait_ms(self) -> clock.Millis:
-        return OPERATIONS_WAIT_MS
+        return HOLDER_WAIT_MS if self._is_holder() else OPERATIONS_WAIT_MS
 
     async def _pause(self) -> None:
         """Read on at once; the read itself waits."""
@@ -177,18 +254,73 @@
     def __init__(
         self,
         runtime: _runtime.Runtime,
-        interval_ms: collections.abc.Callable[[], clock.Millis],
+        is_holder: collections.abc.Callable[[], bool],
     ) -> None:
-        """Follow the targets' topic, reading once an interval."""
-        super().__init__(runtime, runtime.platform.targets_topic)
-        self._interval_ms = interval_ms
+        """Follow the targets' topic."""
+        super().__init__(runtime, runtime.platform.targets_topic, is_holder)
+        self._recent: collections.deque[
+            tuple[clock.Millis, coordination.RelayedRecord]
+        ] = collections.deque()
+        # When the entries were last known to be complete.
+        self._proven_ms: clock.Millis | None = None
+        self._relayed_end = -1
+
+    def position(self) -> tuple[int, clock.Millis] | None:
+        """Return the offset read up to, and the age of the last read."""
+        if self._offset is None or self._proven_ms is None:
+            return None
+        return self._offset, self._runtime.now_ms() - self._proven_ms
+
+    def recent(self) -> tuple[coordination.RelayedRecord, ...]:
+        """Return the records to relay."""
+        bound_ms = self._runtime.now_ms() - RELAY_MS
+        while self._recent and self._recent[0][0] < bound_ms:
+            self._recent.popleft()
+        return tuple(record for _, record in self._recent)
+
+    def relayed(
+        self, view: coordination.StoreView, echo_ms: clock.Millis | None
+    ) -> None:
+        """Take the records that the coordinator read."""
+        self._relayed_end = view.targets_end
+        offset = self._offset
+        if offset is None or view.targets_end < offset or echo_ms is None:
+            return
+        fresh = [r for r in view.targets if r.offset >= offset]
+        numbers = [record.offset for record in fresh]
+        if numbers != list(range(offset, view.targets_end)):
+            self._wake.set()
+            return
+        now_ms = self._runtime.now_ms()
+        transit_ms = self._runtime.boot_ms() - echo_ms
+        as_of_ms = now_ms - view.targets_age_ms - transit_ms
+        self._runtime.state.directory.contacted(as_of_ms, now_ms)
+        for item in fresh:
+            value = None if item.value is None else item.value.encode()
+            self._apply(_ports.Record(item.offset, item.key, value), now_ms)
+        self._offset = view.targets_end
+        if self._proven_ms is None or as_of_ms > self._proven_ms:
+            self._proven_ms = as_of_ms
+        self._expire()
+
+    def _is_relayed(self) -> bool:
+        if self._is_holder() or self._offset is None:
+            return False
+        return (
+            self._proven_ms is not None
+            and self._runtime.now_ms() - self._proven_ms <= RELAY_MAX_AGE_MS
+            and self._relayed_end <= self._offset
+        )
 
     def _wait_ms(self) -> clock.Millis:
-        return TARGETS_WAIT_MS
+        return HOLDER_WAIT_MS if self._is_holder() else TARGETS_WAIT_MS
 
     async def _pause(self) -> None:
         self._expire()
-        await asyncio.sleep(self._interval_ms() / clock.MILLIS_PER_SECOND)
+        interval_ms = TARGETS_INTERVAL_MS
+        if self._is_holder():
+            interval_ms = HOLDER_INTERVAL_MS
+        await asyncio.sleep(interval_ms / clock.MILLIS_PER_SECOND)
 
     def _take_all(self, page: _ports.Page, sent_ms: clock.Millis) -> None:
         runtime = self._runtime
@@ -201,6 +333,8 @@
                 targets.append(target)
         runtime.state.directory.replace(targets, now_ms)
         runtime.log.event("targets_read", targets=len(targets))
+        self._recent.clear()
+        self._proven_ms = now_ms
 
     def _take(
         self,
@@ -208,28 +342,41 @@
         sent_ms: clock.Millis,
         waited_ms: clock.Millis,
     ) -> None:
-        runtime = self._runtime
-        now_ms = runtime.now_ms()
-        directory = runtime.state.directory
-        directory.contacted(self._called_ms, now_ms)
+        now_ms = self._runtime.now_ms()
+        self._runtime.state.directory.contacted(self._called_ms, now_ms)
         for record in page.records:
-            if record.value is None:
-                if directory.remove(record.key, now_ms):
-                    runtime.log.event("target_gone", target=record.key)
-                continue
-            target = runtime.platform.decode_target(record)
-            if target is None:
-                directory.remove(record.key, now_ms)
-                continue
-            known = directory.get(target.id)
-            if known is None or known.draining != target.draining:
-                runtime.log.event(
-                    "target_listed",
-                    target=target.id,
-                    service=target.service,
-                    draining=target.draining,
+            self._apply(record, now_ms)
+            value = record.value
+            text = None if value is None else value.decode("utf-8", "replace")
+            self._recent.append(
+                (
+                    now_ms,
+                    coordination.RelayedRecord(
+                        record.offset, record.key, text
+                    ),
                 )
-            directory.put(target, now_ms)
+            )
+        self.recent()
+        self._proven_ms = now_ms
+
+    def _apply(self, record: _ports.Record, now_ms: clock.Millis) -> None:
+        """Take one record of the topic."""
+        runtime = self._runtime
+        directory = runtime.state.directory
+        target = runtime.platform.decode_target(record)
+        if target is None:
+            if directory.remove(record.key, now_ms):
+                runtime.log.event("target_gone", target=record.key)
+            return
+        known = directory.get(target.id)
+        if known is None or known.draining != target.draining:
+            runtime.log.event(
+                "target_listed",
+                target=target.id,
+                service=target.service,
+                draining=target.draining,
+            )
+        directory.put(target, now_ms)
 
     def _expire(self) -> None:
         directory = self._runtime.state.directory
