Notice lost members earlier; keep spares warm

Cause: a stalled group was probed after 0.7 s and its repair waited for the warm time of a spare, 1.1 to 1.6 s; a new coordinator's first views named no groups, so that all requests were refused for 0.6 s. Change: silent groups are doubted after 0.26 s and their members asked at once; streams leave a group when the coordinator gives it up; a group that makes events is not broken by a member that only the coordinator cannot reach; spares join a standby group, so that they join the next one in 0.2 s; views say whether they are complete.

--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -90,7 +90,11 @@
     term: int
     address: str
     nodes: int
+    # Whether `groups` and `closing` name all groups that work.
+    complete: bool
     groups: tuple[GroupEntry, ...]
+    # Groups that finish their work and take none, by name and epoch.
+    closing: tuple[tuple[str, int], ...]
     work: tuple[GroupWork, ...]
     outcomes: tuple[Outcome, ...]
     store: StoreView | None = None
@@ -172,13 +176,26 @@
                 tuple(str(item) for item in suspects),
             )
         if kind == _VIEW:
-            node, term, address, nodes, groups, work, outcomes, store = row
+            (
+                node,
+                term,
+                address,
+                nodes,
+                complete,
+                groups,
+                closing,
+                work,
+                outcomes,
+                store,
+            ) = row
             return View(
                 str(node),
                 int(term),
                 str(address),
                 int(nodes),
+                bool(complete),
                 tuple(GroupEntry(*item) for item in groups),
+                tuple((str(name), int(epoch)) for name, epoch in closing),
                 tuple(GroupWork(*item) for item in work),
                 tuple(Outcome(*item) for item in outcomes),
                 None if store is None else _store_view(store),
--- a/packages/core/src/quetzalward_core/grouping/_coordinator.py
+++ b/packages/core/src/quetzalward_core/grouping/_coordinator.py
@@ -48,10 +48,19 @@
         fleet.MemberState.CLOSING,
     )
 )
+# Names of groups of one target that only keep it warm.
+STANDBY_PREFIX = "standby"
+# A join of a standby group that had no effect is tried again after this.
+WARM_RETRY_MS = 5_000
+
 _CARRIED_OUT = frozenset((_model.OrderAnswer.BEGUN, _model.OrderAnswer.DONE))
 _TAKING_STATES = frozenset((fleet.MemberState.OPEN, fleet.MemberState.CLOSING))
 
 
+def _is_standby(seat: fleet.Membership) -> bool:
+    return seat.group.startswith(STANDBY_PREFIX)
+
+
 class Coordinator:
     """Plans the serving groups of one service."""
 
@@ -70,7 +79,10 @@
         self._loads = _loads.LoadLimit()
         self._adopted = False
         self._left_ms_by_id: dict[str, clock.Millis] = {}
-        self._arrived_ms = now_ms
+        self._spares: list[_model.Host] = []
+        self._warmed_ms_by_id: dict[str, clock.Millis] = {}
+        # Groups, by name and epoch, of which events arrive.
+        self._producing: frozenset[tuple[str, int]] = frozenset()
 
     # What is known of the targets.
 
@@ -82,7 +94,6 @@
         """Take a target's entry."""
         host = self.host_by_id.get(target.id)
         if host is None or host.target.born_ms != target.born_ms:
-            self._arrived_ms = now_ms
             self.host_by_id[target.id] = _model.Host(
                 target, target.membership, target.staged_models, now_ms
             )
@@ -200,6 +211,18 @@
                 commands.append(_model.Probe(member))
         return commands
 
+    def producing(self, groups: frozenset[tuple[str, int]]) -> None:
+        """Take the groups, by name and epoch, that just made events.
+
+        A member that this node cannot reach is no loss to such a group.
+        """
+        self._producing = groups
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the groups that stood before are known."""
+        return self._adopted
+
     def requested(self) -> None:
         """Note the first request of a caller."""
         self.before_traffic = False
@@ -220,6 +243,7 @@
             self._advance(group, now_ms, commands)
         self._release_strangers(now_ms, commands)
         self._reform(engine, now_ms, commands)
+        self._warm_spares(engine, now_ms, commands)
         for group in self.group_by_name.values():
             if group.phase is _model.Phase.FORMING:
                 self._send_joins(group, now_ms, commands)
@@ -242,12 +266,29 @@
             if group.phase is _model.Phase.OPEN
         ]
 
-    def is_changing(self) -> bool:
-        """Tell whether a group waits for its targets."""
-        return any(
-            group.phase is not _model.Phase.OPEN
+    def closing_groups(self) -> list[_model.Group]:
+        """Return the groups that finish their work and take none."""
+        return [
+            group
             for group in self.group_by_name.values()
-        )
+            if group.phase is _model.Phase.CLOSING
+        ]
+
+    def spares_by_domain(self) -> dict[str, dict[str, int]]:
+        """Return the hosts out of groups, by domain and kept model.
+
+        A host that is being staged counts under `->` and its model.
+        """
+        counts: dict[str, dict[str, int]] = {}
+        for host in self.host_by_id.values():
+            if host.id in self._group_by_member or host.target.draining:
+                continue
+            kept = host.staged[-1] if host.staged else ""
+            if host.staging:
+                kept = f"->{host.staging}"
+            row = counts.setdefault(host.target.domain or "", {})
+            row[kept] = row.get(kept, 0) + 1
+        return counts
 
     def _adopt(self, engine: fleet.Engine, now_ms: clock.Millis) -> None:
         """Take over the groups that an earlier coordinator formed."""
@@ -255,7 +296,7 @@
         found: dict[str, dict[int, dict[int, _model.Host]]] = {}
         for host in self.host_by_id.values():
             joined = host.membership
-            if joined is not None:
+            if joined is not None and not _is_standby(joined):
                 by_rank = found.setdefault(joined.group, {}).setdefault(
                     joined.epoch, {}
                 )
@@ -405,7 +446,11 @@
     ) -> bool:
         for member in group.members:
             host = self.host_by_id.get(member)
-            if host is None or now_ms < host.suspect_until_ms:
+            if host is None:
+                return True
+            if now_ms < host.suspect_until_ms and not self._is_producing(
+                group
+            ):
                 return True
             if host.target.born_ms != group.born_by_id[member]:
                 return True
@@ -413,6 +458,9 @@
                 return True
         return False
 
+    def _is_producing(self, group: _model.Group) -> bool:
+        return (group.name, group.epoch) in self._producing
+
     def _break(self, group: _model.Group, now_ms: clock.Millis) -> None:
         group.phase = _model.Phase.BROKEN
         group.since_ms = now_ms
@@ -501,6 +549,8 @@
             group = self._group_by_member.get(host.id)
             if group is not None and group.name == joined.group:
                 continue
+            if _is_standby(joined):
+                continue
             last = self._left_ms_by_id.get(host.id)
             if last is None or now_ms - last >= RESEND_MS:
                 self._left_ms_by_id[host.id] = now_ms
@@ -527,6 +577,7 @@
             if group.phase is _model.Phase.BROKEN:
                 self._repair(group, hosts_by_domain, now_ms, commands)
         self._merge_broken(now_ms)
+        self._spares.clear()
         total = self._count_groups(None)
         wanted: list[tuple[int, str, _model.Host, str]] = []
         for domain in sorted(hosts_by_domain):
@@ -539,6 +590,8 @@
                 list(engine.models_by_name.values()),
             )
             self._form_new(engine, domain, hosts, pattern, now_ms)
+            if self._count_groups(domain) == pattern.groups_by_model:
+                self._spares += self._free(hosts, now_ms)
             wanted += self._unstaged(engine, hosts, pattern, now_ms)
         self._stage(engine, wanted, now_ms, commands)
 
@@ -566,7 +619,8 @@
         return [
             host
             for host in hosts
-            if host.id not in self._group_by_member and host.membership is None
+            if host.id not in self._group_by_member
+            and (host.membership is None or _is_standby(host.membership))
         ]
 
     def _repair(
@@ -586,7 +640,7 @@
             if group.model in host.staged
         ]
         missing = max(0, group.size - len(survivors))
-        spares.sort(key=lambda host: (-host.alive_ms, host.id))
+        spares.sort(key=lambda host: (host.membership is None, host.id))
         members = [*survivors, *spares[:missing]][: group.size]
         # Entries are only written when they change: a silent target is told
         # from a living one by a report.
@@ -697,6 +751,36 @@
             )
         )
 
+    # Spares.
+
+    def _warm_spares(
+        self,
+        engine: fleet.Engine,
+        now_ms: clock.Millis,
+        commands: list[_model.Command],
+    ) -> None:
+        """Make spares join a standby group of their model.
+
+        A target that was in a group of a model joins the next one in 0.2 s
+        instead of its warm time; a standby group is never opened.
+        """
+        for host in self._spares:
+            if host.membership is not None or host.staging is not None:
+                continue
+            if not host.staged or host.id in self._group_by_member:
+                continue
+            last = self._warmed_ms_by_id.get(host.id)
+            if last is not None and now_ms - last < WARM_RETRY_MS:
+                continue
+            self._warmed_ms_by_id[host.id] = now_ms
+            model = host.staged[-1]
+            if model in engine.models_by_name:
+                epoch = self._next_epoch()
+                name = f"{STANDBY_PREFIX}{epoch}.{model}"
+                commands.append(
+                    _model.Join(host.id, name, epoch, model, (host.id,))
+                )
+
     # Staging.
 
     def _note_staged(self, host: _model.Host) -> None:
--- a/packages/core/src/quetzalward_core/placing/_loads.py
+++ b/packages/core/src/quetzalward_core/placing/_loads.py
@@ -14,7 +14,10 @@
 # A group that produced nothing for this long with work in hand has stalled;
 # a pass with prompts to read takes about a quarter of it.
 STALL_MS = 700
-# Passes that a slow group may miss before it counts as stalled.
+# Its members are asked for reports earlier, which costs little if it is well.
+DOUBT_MS = 260
+# Passes that a slow group may miss before it is doubted, or has stalled.
+DOUBT_PASSES = 3
 STALL_PASSES = 6
 
 
@@ -33,6 +36,10 @@
     # Since when this node has had work there without a pause.
     busy_ms: clock.Millis | None = None
     slowness: float = 1.0
+    # The group is silent and its members are being asked.
+    doubted: bool = False
+    # The coordinator has given the group up in this epoch.
+    lost: bool = False
     # Since when the group counts as stalled or unreachable.
     suspected_ms: clock.Millis | None = None
     # Last event of a stream of this node.
@@ -76,6 +83,7 @@
         """Note when any node last received an event of the group."""
         if self.event_ms is None or event_ms > self.event_ms:
             self.event_ms = event_ms
+            self.doubted = False
         if self.suspected_ms is not None and event_ms > self.suspected_ms:
             self.suspected_ms = None
 
@@ -108,3 +116,8 @@
         """Tell whether the group has been silent for too long."""
         limit = max(STALL_MS, STALL_PASSES * pass_ms * self.slowness)
         return self.silent_ms(now_ms) > limit
+
+    def is_doubtful(self, pass_ms: float, now_ms: clock.Millis) -> bool:
+        """Tell whether the group's members should be asked for reports."""
+        limit = max(DOUBT_MS, DOUBT_PASSES * pass_ms * self.slowness)
+        return self.silent_ms(now_ms) > limit
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -126,7 +126,9 @@
             3,
             "a:1",
             7,
+            True,
             (coordination.GroupEntry("g", 1, "m", "t"),),
+            (("h", 4),),
             (coordination.GroupWork("g", 1, 2.0, 30.0, 5, False),),
             (coordination.Outcome("t", 3, 1, 20.0),),
             coordination.StoreView(
@@ -139,7 +141,9 @@
         """The repeated clock is found before plain and compressed views."""
         for groups in (0, 300):
             entry = coordination.GroupEntry("g", 1, "m", "t")
-            view = coordination.View("a", 3, "a", 7, (entry,) * groups, (), ())
+            view = coordination.View(
+                "a", 3, "a", 7, True, (entry,) * groups, (), (), ()
+            )
             data = coordination.encode(view)
             self.assertEqual((None, data), coordination.split_echo(data))
             echoed = coordination.with_echo(data, 123)
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -25,10 +25,12 @@
 # The holder looks for a later term this often.
 CHECK_TERM_MS = 1_000
 # A group counts as stalled if no node received an event for so long.
-STALL_AGE_MS = 600
+STALL_AGE_MS = 220
 ORDER_TIMEOUT_MS = 1_200
-PROBE_TIMEOUT_MS = 350
+PROBE_TIMEOUT_MS = 250
 CLAIM_RETRY_MS = 250
+# The state of the fleet is logged this often.
+FLEET_LOG_MS = 2_000
 _KEY = "coordinator"
 # Below either, a machine leaves the duty to others.
 WEAK_CORES = 1.0
@@ -74,6 +76,7 @@
         self._phase_by_group: dict[str, tuple[int, str]] = {}
         self._orders: set[asyncio.Task[None]] = set()
         self._sent_ms = 0
+        self._fleet_ms = 0
         self._checked_ms = 0
         self._looked_ms = -CLAIM_RETRY_MS
         self._looking: asyncio.Task[None] | None = None
@@ -94,7 +97,9 @@
             self._follow_term(now_ms)
             if self.is_holder:
                 self._coordinate(now_ms)
-            if now_ms - self._sent_ms >= self._runtime.state.message_ms():
+            state = self._runtime.state
+            if state.is_urgent or now_ms - self._sent_ms >= state.message_ms():
+                state.is_urgent = False
                 self._sent_ms = now_ms
                 self._send(now_ms)
 
@@ -149,11 +154,17 @@
         for name, node in list(self._node_by_name.items()):
             if now_ms - node.heard_ms > NODE_MAX_AGE_MS:
                 del self._node_by_name[name]
+        coordinators = self._coordinator_by_service.values()
+        closing = tuple(
+            (group.name, group.epoch)
+            for coordinator in coordinators
+            for group in coordinator.closing_groups()
+        )
         groups = tuple(
             coordination.GroupEntry(
                 group.name, group.epoch, group.model, group.head
             )
-            for coordinator in self._coordinator_by_service.values()
+            for coordinator in coordinators
             for group in coordinator.open_groups()
         )
         outcomes: list[coordination.Outcome] = []
@@ -166,7 +177,9 @@
             self._term,
             str(self._settings.peers),
             len(self._node_by_name),
+            bool(coordinators) and all(c.is_settled for c in coordinators),
             groups,
+            closing,
             tuple(self._work(now_ms)),
             tuple(outcomes),
             self._store_view(),
@@ -289,9 +302,15 @@
         configuration = self._runtime.state.configuration
         if configuration is None:
             return
+        works = self._work(now_ms)
+        producing = frozenset(
+            (work.group, work.epoch)
+            for work in works
+            if 0 <= work.event_age_ms < STALL_AGE_MS
+        )
         stalled = [
             work
-            for work in self._work(now_ms)
+            for work in works
             if work.stalled
             and (work.event_age_ms < 0 or work.event_age_ms >= STALL_AGE_MS)
         ]
@@ -305,6 +324,7 @@
                 continue
             coordinator = self._coordinator(service.name, now_ms)
             coordinator.configure(service.engine)
+            coordinator.producing(producing)
             if requests:
                 coordinator.requested()
             commands = self._observe(service.name, coordinator, now_ms)
@@ -314,6 +334,15 @@
                 commands += coordinator.doubt(target_id, now_ms)
             commands += coordinator.tick(now_ms)
             self._log_phases(coordinator)
+            if now_ms - self._fleet_ms >= FLEET_LOG_MS:
+                self._fleet_ms = now_ms
+                self._runtime.log.event(
+                    "fleet",
+                    service=service.name,
+                    open=len(coordinator.open_groups()),
+                    groups=len(coordinator.group_by_name),
+                    spares=coordinator.spares_by_domain(),
+                )
             for command in commands:
                 self._start(coordinator, command)
 
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -71,6 +71,8 @@
         self.nodes = settings.nodes
         self.requests = 0
         self.suspects: set[str] = set()
+        # Set when the coordinator should hear of something at once.
+        self.is_urgent = False
         self._outcomes_to_share: dict[str, list[float]] = {}
 
     # What the store says.
@@ -118,10 +120,8 @@
         self._view = view
         self._view_ms = now_ms
         self.nodes = max(1, view.nodes)
-        keys = {(entry.name, entry.epoch) for entry in view.groups}
-        for key in list(self.load_by_group):
-            if key not in keys and not self.load_by_group[key].active:
-                del self.load_by_group[key]
+        if view.complete:
+            self._drop_groups(view)
         for work in view.work:
             load = self.load_of((work.group, work.epoch))
             load.others_active = max(0.0, work.active - load.shared_active)
@@ -146,6 +146,17 @@
                     outcome.target_id, False, 0.0, now_ms, outcome.failed
                 )
 
+    def _drop_groups(self, view: coordination.View) -> None:
+        """Mark the groups that the coordinator has given up."""
+        keys = {(entry.name, entry.epoch) for entry in view.groups}
+        keys.update(view.closing)
+        for key, load in list(self.load_by_group.items()):
+            if key in keys:
+                continue
+            load.lost = True
+            if not load.active:
+                del self.load_by_group[key]
+
     def load_of(self, key: GroupKey) -> placing.GroupLoad:
         """Return the load of a group in one epoch."""
         load = self.load_by_group.get(key)
@@ -172,6 +183,7 @@
         view = self._view
         if (
             view is not None
+            and view.complete
             and self._view_ms is not None
             and now_ms - self._view_ms <= VIEW_MAX_AGE_MS
         ):
@@ -214,14 +226,16 @@
             model = engine.models_by_name.get(request.model)
         if engine is None or model is None or prompt is None:
             return placing.Refusal("unknown model", placing.MIN_RETRY_AFTER_MS)
+        sites = self.open_groups(service.name, model.name, now_ms)
+        sites = [
+            s for s in sites if self._takes_work(service, s, tried, now_ms)
+        ]
+        # A doubtful group is better than none.
+        sure = [s for s in sites if not self.load_of(s.key).doubted]
         site_by_group: dict[str, GroupSite] = {}
         candidates = []
-        for site in self.open_groups(service.name, model.name, now_ms):
+        for site in sure or sites:
             load = self.load_of(site.key)
-            if site.key in tried or load.suspected:
-                continue
-            if not self._bears_cold(service, site.head.id, now_ms):
-                continue
             site_by_group[site.entry.name] = site
             away = site.head.zone != self._settings.zone
             candidates.append(
@@ -246,6 +260,21 @@
         site = site_by_group[choice.group]
         return StreamPlace(site, choice.first_event_ms, engine, model)
 
+    def _takes_work(
+        self,
+        service: fleet.Service,
+        site: GroupSite,
+        tried: set[GroupKey],
+        now_ms: clock.Millis,
+    ) -> bool:
+        load = self.load_of(site.key)
+        return (
+            site.key not in tried
+            and not load.suspected
+            and not load.lost
+            and self._bears_cold(service, site.head.id, now_ms)
+        )
+
     def place_plain(
         self,
         service: fleet.Service,
@@ -328,7 +357,7 @@
                     load.active,
                     load.unread_tokens,
                     age,
-                    load.suspected,
+                    load.suspected or load.doubted,
                 )
             )
         outcomes = tuple(
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -19,7 +19,7 @@
 
 CONNECT_TIMEOUT_MS = 300
 # A waiting stream looks this often whether its group still produces.
-LOOK_MS = 150
+LOOK_MS = 80
 # A resumed stream without a place looks for one this often.
 RESUME_LOOK_MS = 60
 # Callers leave a stream after a gap of two seconds or more, so that a
@@ -423,5 +423,10 @@
                 return await receive(min(LOOK_MS, left_ms))
             except _channel.ChannelTimeout:
                 now_ms = call.runtime.now_ms()
+                if load.lost:
+                    return _Attempt(_Result.STALLED, "the group was given up")
                 if load.suspected or load.has_stalled(one_pass, now_ms):
                     return _Attempt(_Result.STALLED, "the group stalled")
+                if not load.doubted and load.is_doubtful(one_pass, now_ms):
+                    load.doubted = True
+                    self._state.is_urgent = True
