--- a/packages/core/src/quetzalward_core/grouping/__init__.py
+++ b/packages/core/src/quetzalward_core/grouping/__init__.py
@@ -5,8 +5,10 @@
 from quetzalward_core.grouping._model import Close
 from quetzalward_core.grouping._model import Command
 from quetzalward_core.grouping._model import Group
+from quetzalward_core.grouping._model import group_name
 from quetzalward_core.grouping._model import Join
 from quetzalward_core.grouping._model import Leave
+from quetzalward_core.grouping._model import model_of
 from quetzalward_core.grouping._model import Open
 from quetzalward_core.grouping._model import Order
 from quetzalward_core.grouping._model import OrderAnswer
@@ -28,4 +30,6 @@
     "Phase",
     "Probe",
     "Stage",
+    "group_name",
+    "model_of",
 ]
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -129,6 +129,26 @@
         self.stall_reported_ms = None
         self.ordered_ms_by_id.clear()
 
+    def fail(self, now_ms: clock.Millis) -> None:
+        """Note that the group cannot go on with its members."""
+        if self.phase is not Phase.BROKEN:
+            self.step("member_lost", now_ms)
+            self.accepted.clear()
+
+
+def group_name(epoch: int, model: str) -> str:
+    """Return the name of a group that begins at an epoch.
+
+    The name holds the model, because targets report no model with their
+    group.
+    """
+    return f"g{epoch}.{model}"
+
+
+def model_of(name: str) -> str:
+    """Return the model of a group's name."""
+    return name.partition(".")[2]
+
 
 @attrs.define
 class Host:
@@ -149,3 +169,36 @@
     def id(self) -> str:
         """Return the target's id."""
         return self.target.id
+
+    @property
+    def domain(self) -> str:
+        """Return the host's fabric domain, empty if it names none."""
+        return self.target.domain or ""
+
+    @property
+    def kept_model(self) -> str:
+        """Return the model whose weights the host holds, or nothing."""
+        return self.staged[-1] if self.staged else ""
+
+    def is_in(self, group: str, epoch: int) -> bool:
+        """Tell whether the target says it is in a group and epoch."""
+        seat = self.membership
+        return seat is not None and seat.group == group and seat.epoch == epoch
+
+    def take(
+        self,
+        membership: fleet.Membership | None,
+        staged: tuple[str, ...],
+    ) -> None:
+        """Take what the target says of itself."""
+        self.membership = membership
+        self.staged = staged
+        if self.staging is not None and self.staging in staged:
+            self.staging = None
+
+    def note_staging(self, model: str, answer: OrderAnswer) -> None:
+        """Take the answer to an order to stage."""
+        if answer is OrderAnswer.DONE:
+            self.staged = (*self.staged, model)
+        if answer is not OrderAnswer.BEGUN:
+            self.staging = None
--- /dev/null
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -0,0 +1,160 @@
+"""Keeps the hosts out of groups staged and warm."""
+
+import collections.abc
+
+import attrs
+
+from quetzalward_core import clock
+from quetzalward_core import fleet
+from quetzalward_core.grouping import _loads
+from quetzalward_core.grouping import _model
+from quetzalward_core.grouping import _pattern
+from quetzalward_core.grouping import _roster
+
+# Staging that has not shown up by then was lost; a load that shares the
+# weight store with others takes longer than its published time.
+STAGING_SLACK_MS = 10_000
+# A join of a standby group that had no effect is tried again after this.
+WARM_RETRY_MS = 5_000
+
+
+@attrs.frozen(order=True)
+class Wish:
+    """A host to stage; lower ranks are worth more."""
+
+    rank: int
+    domain: str
+    target_id: str
+    model: str
+
+
+class Spares:
+    """Decides what spare hosts hold."""
+
+    def __init__(
+        self,
+        roster: _roster.Roster,
+        next_epoch: collections.abc.Callable[[], int],
+    ) -> None:
+        """Work on a roster."""
+        self._roster = roster
+        self._next_epoch = next_epoch
+        self._loads = _loads.LoadLimit()
+        self._warmed_ms_by_id: dict[str, clock.Millis] = {}
+
+    def warm(
+        self,
+        engine: fleet.Engine,
+        hosts: list[_model.Host],
+        now_ms: clock.Millis,
+        commands: list[_model.Command],
+    ) -> None:
+        """Make spares join a standby group of their model.
+
+        A target that was in a group of a model joins the next one in 0.2 s
+        instead of its warm time; a standby group is never opened.
+        """
+        for host in self._roster.free(hosts):
+            if host.membership is not None or host.staging is not None:
+                continue
+            last = self._warmed_ms_by_id.get(host.id)
+            if last is not None and now_ms - last < WARM_RETRY_MS:
+                continue
+            model = host.kept_model
+            if model in engine.models_by_name:
+                self._warmed_ms_by_id[host.id] = now_ms
+                epoch = self._next_epoch()
+                name = f"{_roster.STANDBY_PREFIX}{epoch}.{model}"
+                commands.append(
+                    _model.Join(host.id, name, epoch, model, (host.id,))
+                )
+
+    def wishes(
+        self,
+        engine: fleet.Engine,
+        domain: str,
+        hosts: list[_model.Host],
+        pattern: _pattern.Pattern,
+    ) -> list[Wish]:
+        """Return what to stage on the hosts of a domain."""
+        deficit = dict(pattern.hosts_by_model)
+        idle = []
+        for host in hosts:
+            kept = host.staging or host.kept_model
+            if deficit.get(kept, 0) > 0:
+                deficit[kept] -= 1
+            elif host.staging is None:
+                if host.id not in self._roster.group_by_member:
+                    idle.append(host)
+        # Hosts that hold nothing come first; a reload throws weights away.
+        idle.sort(key=lambda host: (len(host.staged), host.id))
+        broken = {
+            group.model
+            for group in self._roster.in_phase(_model.Phase.BROKEN)
+            if group.domain == domain
+        }
+        names = sorted(
+            deficit,
+            key=lambda n: (
+                n not in broken,
+                engine.models_by_name[n].group_size,
+                n,
+            ),
+        )
+        result: list[Wish] = []
+        for name in names:
+            size = engine.models_by_name[name].group_size
+            while deficit[name] > 0 and idle:
+                host = idle.pop(0)
+                deficit[name] -= 1
+                rank = len(result) // size + (name not in broken)
+                result.append(Wish(rank, domain, host.id, name))
+        return result
+
+    def stage(
+        self,
+        engine: fleet.Engine,
+        wishes: list[Wish],
+        before_traffic: bool,
+        now_ms: clock.Millis,
+        commands: list[_model.Command],
+    ) -> None:
+        """Order the loads that the weight store bears now."""
+        running = self._running(engine, now_ms)
+        for wish in sorted(wishes):
+            if not self._loads.allows(engine, running, before_traffic, now_ms):
+                return
+            self._loads.started(now_ms)
+            running += 1
+            host = self._roster.host_by_id[wish.target_id]
+            host.staging = wish.model
+            host.staging_ms = now_ms
+            commands.append(_model.Stage(host.id, wish.model))
+
+    def _running(self, engine: fleet.Engine, now_ms: clock.Millis) -> int:
+        """Return the loads under way; forgets those that were lost."""
+        running = 0
+        for host in self._roster.host_by_id.values():
+            if host.staging is None:
+                continue
+            model = engine.models_by_name.get(host.staging)
+            limit = (model.load_ms if model else 0) * 2 + STAGING_SLACK_MS
+            if now_ms - host.staging_ms > limit:
+                host.staging = None
+            else:
+                running += 1
+        return running
+
+    def by_domain(self) -> dict[str, dict[str, int]]:
+        """Return the hosts out of groups, by domain and kept model.
+
+        A host that is being staged counts under `->` and its model.
+        """
+        counts: dict[str, dict[str, int]] = {}
+        for host in self._roster.host_by_id.values():
+            if host.id in self._roster.group_by_member:
+                continue
+            kept = f"->{host.staging}" if host.staging else host.kept_model
+            row = counts.setdefault(host.domain, {})
+            row[kept] = row.get(kept, 0) + 1
+        return counts
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -8,6 +8,7 @@
 from quetzalward_core import clock
 from quetzalward_core import coordination
 from quetzalward_core import fleet
+from quetzalward_core import grouping
 from quetzalward_core import placing
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _settings
@@ -200,7 +201,7 @@
                 and seat.rank == 0
                 and seat.state is fleet.MemberState.OPEN
             ):
-                model = seat.group.partition(".")[2]
+                model = grouping.model_of(seat.group)
                 entries.append(
                     coordination.GroupEntry(
                         seat.group, seat.epoch, model, target.id
