A stop during the start of a node does not hang

Cause: Gate.stop waited for an event that only run sets; if the server's thread saw the stop first, run was never entered. Change: the event is set until run begins. Test: test_stop_before_run hung before (10 s limit), passes now. Ruled out: a lock around both, which run would hold for its whole life.

--- a/packages/node/src/quetzalward_node/callers/_gate.py
+++ b/packages/node/src/quetzalward_node/callers/_gate.py
@@ -77,7 +77,10 @@
         self._held_bytes = 0
         self._accepting = True
         self._stop_requested = False
+        # Set while `run` is not at work, also before its first call: a stop
+        # during the start must not wait for a `run` that never begins.
         self._stopped = threading.Event()
+        self._stopped.set()
         self._expired_ms = clock.now_ms()
 
     @property
