Fault soak of real gateway processes against a stand-in of the platform

Cause: nothing in the repository played the gateway against failing processes, connections, store and targets without the bench.

--- /dev/null
+++ b/packages/bench/src/quetzalward_bench/soak/_nodes.py
@@ -0,0 +1,147 @@
+"""Gateway processes of the soak."""
+
+import itertools
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+from quetzalward_standins import platform
+
+GRACE_S = 8
+# A stopped process that has not ended by then is killed, and reported.
+STOP_LIMIT_S = GRACE_S + 2.0
+
+
+# Below the range from which the kernel takes ports of outgoing connections,
+# which would otherwise take a node's port while it is down.
+_PORTS = itertools.cycle(range(15_000, 28_000))
+_PORTS_OF_A_PROCESS = 40
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """Return a port that nothing uses now, a new one at each call."""
+    while True:
+        port = next(_PORTS)
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                # Another process uses it; the next one may be free.
+                continue
+        return port
+
+
+def _skip_ports() -> None:
+    """Start at another port than soaks that run at the same time."""
+    for _ in range(os.getpid() % 300 * _PORTS_OF_A_PROCESS):
+        next(_PORTS)
+
+
+_skip_ports()
+
+
+class NodeProcess:
+    """One gateway process and its own proxy to the store."""
+
+    def __init__(
+        self, name: str, zone: str, folder: pathlib.Path, store_port: int
+    ) -> None:
+        """Describe the process; `start` runs it."""
+        self.name = name
+        self.front_port = free_port()
+        self.proxy = platform.Proxy(store_port)
+        self.stop_requested_s: float | None = None
+        self._zone = zone
+        self._ready_port = free_port()
+        self._peers_port = free_port(socket.SOCK_DGRAM)
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+        self._first = True
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process lives."""
+        return self._process is not None and self._process.poll() is None
+
+    async def prepare(self) -> None:
+        """Start the proxy and write the settings."""
+        proxy_port = await self.proxy.start()
+        self._settings.write_text(json.dumps(self._document(proxy_port)))
+
+    def _document(self, proxy_port: int) -> dict[str, typing.Any]:
+        return {
+            "nodeName": self.name,
+            "ip": "127.0.0.1",
+            "zone": self._zone,
+            "bind": {
+                "front": f"127.0.0.1:{self.front_port}",
+                "ready": f"127.0.0.1:{self._ready_port}",
+            },
+            "internalPorts": [self._peers_port],
+            "bootstrap": self._first,
+            "limits": {"cpuShare": 1.0, "cores": 1, "linkMbps": 1000.0},
+            "bounds": {
+                "graceS": GRACE_S,
+                "strictRevoke": True,
+                "revokeMs": 5000,
+                "retryBudgetRatio": 0.2,
+                "retrySlack": 100,
+                "retryWindowS": 10,
+            },
+            "platform": {"address": f"127.0.0.1:{proxy_port}"},
+        }
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {
+            **os.environ,
+            "QUETZALWARD_NODE_FILE": str(self._settings),
+        }
+        with self._log.open("ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "quetzalward_platform"],
+                env=environment,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        self.stop_requested_s = None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process, by its id, if it lives."""
+        if self.is_running and self._process is not None:
+            self._process.send_signal(number)
+            if number is signal.SIGTERM:
+                self.stop_requested_s = time.monotonic()
+
+    def overstayed(self) -> bool:
+        """Tell whether a stopped process has not ended in time."""
+        return (
+            self.is_running
+            and self.stop_requested_s is not None
+            and time.monotonic() - self.stop_requested_s > STOP_LIMIT_S
+        )
+
+    def kill(self) -> None:
+        """End the process and the proxy."""
+        if self._process is not None and self.is_running:
+            self._process.kill()
+            self._process.wait()
+        self.proxy.close()
+
+    def errors(self) -> list[str]:
+        """Return the log's lines about faults of the program itself."""
+        if not self._log.exists():
+            return []
+        lines = self._log.read_text(errors="replace").splitlines()
+        return [
+            line
+            for line in lines
+            if "internal_error" in line or "Traceback" in line
+        ]
--- /dev/null
+++ b/packages/bench/tests/functional/test_soak.py
@@ -0,0 +1,35 @@
+"""A short soak of real gateway processes, and seeds that failed before."""
+
+import asyncio
+import unittest
+
+from quetzalward_bench import soak
+
+SEED = 11
+SECONDS = 6.0
+NODES = 3
+# Seeds that broke a promise once, each with its cause.
+REGRESSIONS: dict[int, str] = {}
+
+
+class SoakTest(unittest.TestCase):
+    """Guards against promises broken by overlapping faults."""
+
+    def run_seed(self, seed: int) -> None:
+        """Run a seed and fail with what it broke."""
+        report = asyncio.run(soak.run_seed(seed, SECONDS, NODES))
+        self.assertEqual([], report.broken, f"seed {seed}: {report.faults}")
+
+    def test_seeded_run(self) -> None:
+        """Processes, connections, store and targets fail at random."""
+        self.run_seed(SEED)
+
+    def test_regressions(self) -> None:
+        """Each seed that ever failed is played again."""
+        for seed, cause in REGRESSIONS.items():
+            with self.subTest(seed=seed, cause=cause):
+                self.run_seed(seed)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gateway/src/quetzalward_gateway/_http.py
+++ b/packages/gateway/src/quetzalward_gateway/_http.py
@@ -149,11 +149,9 @@
         until_ms = self._now_ms() + timeout_ms
         channel, call = await self._take(address, timeout_ms, reuse)
         try:
-            sent = [
-                (b"host", str(address).encode()),
-                (b"content-length", str(len(body)).encode()),
-                *headers,
-            ]
+            sent = [(b"content-length", str(len(body)).encode()), *headers]
+            if all(name != b"host" for name, _ in headers):
+                sent.insert(0, (b"host", str(address).encode()))
             call.send(method.encode(), target.encode(), sent, body)
             answer = await self._receive(call, until_ms)
         except _channel.ChannelTimeout as error:
--- /dev/null
+++ b/packages/standins/src/quetzalward_standins/platform/__init__.py
@@ -0,0 +1,23 @@
+"""Stand-ins of the operators' platform: store, targets and operators."""
+
+from quetzalward_standins.platform._http import Reply
+from quetzalward_standins.platform._http import Request
+from quetzalward_standins.platform._http import Server
+from quetzalward_standins.platform._operator import Operator
+from quetzalward_standins.platform._proxy import Proxy
+from quetzalward_standins.platform._proxy import ProxyMode
+from quetzalward_standins.platform._store import Store
+from quetzalward_standins.platform._targets import Run
+from quetzalward_standins.platform._targets import Targets
+
+__all__ = [
+    "Operator",
+    "Proxy",
+    "ProxyMode",
+    "Reply",
+    "Request",
+    "Run",
+    "Server",
+    "Store",
+    "Targets",
+]
--- /dev/null
+++ b/packages/standins/src/quetzalward_standins/platform/_http.py
@@ -0,0 +1,187 @@
+"""A small asynchronous HTTP server for the platform's stand-ins."""
+
+import asyncio
+import collections.abc
+import typing
+import urllib.parse
+
+import attrs
+import h11
+
+RECEIVE_BYTES = 65_536
+
+
+@attrs.frozen
+class Request:
+    """A request, read whole."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Return the query's fields."""
+        text = self.target.partition("?")[2]
+        return dict(urllib.parse.parse_qsl(text))
+
+
+class Reply:
+    """Writes one answer; a handler may also cut it."""
+
+    def __init__(
+        self, http: h11.Connection, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer on a connection."""
+        self._http = http
+        self._writer = writer
+        self.cut = False
+
+    def whole(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Send a complete answer."""
+        sent = {"content-length": str(len(body)), **(headers or {})}
+        self.start(status, sent)
+        if body:
+            self.part(body)
+        self.end()
+
+    def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head."""
+        response = h11.Response(
+            status_code=status, headers=list(headers.items())
+        )
+        self._writer.write(self._http.send(response) or b"")
+
+    def part(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._writer.write(self._http.send(h11.Data(data=data)) or b"")
+
+    def end(self) -> None:
+        """Send the end of the body."""
+        self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
+
+    def reset(self) -> None:
+        """Break the connection off."""
+        self.cut = True
+        self._writer.transport.abort()
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the other side has left."""
+        return self._writer.transport.is_closing()
+
+
+Handler = collections.abc.Callable[
+    [Request, Reply], collections.abc.Awaitable[None]
+]
+
+
+class Server:
+    """Serves one address until closed."""
+
+    def __init__(self, handler: Handler) -> None:
+        """Hand each request to a handler."""
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int = 0) -> int:
+        """Listen on loopback; return the port."""
+        self._server = await asyncio.start_server(
+            self._connected, "127.0.0.1", port
+        )
+        address: tuple[str, int] = self._server.sockets[0].getsockname()
+        return address[1]
+
+    def close(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, h11.ProtocolError, EOFError):
+            # The other side broke off; callers of the stand-in see it too.
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        http = h11.Connection(h11.SERVER)
+        while True:
+            request = await _read(http, reader)
+            if request is None:
+                return
+            reply = Reply(http, writer)
+            task = asyncio.create_task(_handle(self._handler, request, reply))
+            watch = asyncio.create_task(reader.read(1))
+            done, _ = await asyncio.wait(
+                [task, watch], return_when=asyncio.FIRST_COMPLETED
+            )
+            if task not in done:
+                # The caller left, or sent a second request too early.
+                task.cancel()
+                return
+            watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
+            await writer.drain()
+            if reply.cut or http.our_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+
+
+async def _handle(handler: Handler, request: Request, reply: Reply) -> None:
+    await handler(request, reply)
+
+
+async def _event(
+    http: h11.Connection, reader: asyncio.StreamReader
+) -> typing.Any:
+    while True:
+        event = http.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        http.receive_data(await reader.read(RECEIVE_BYTES))
+
+
+async def _read(
+    http: h11.Connection, reader: asyncio.StreamReader
+) -> Request | None:
+    head = await _event(http, reader)
+    if not isinstance(head, h11.Request):
+        return None
+    parts = []
+    while True:
+        event = await _event(http, reader)
+        if isinstance(event, h11.EndOfMessage):
+            break
+        parts.append(bytes(event.data))
+    headers = {
+        name.decode(): value.decode("latin-1") for name, value in head.headers
+    }
+    return Request(
+        head.method.decode(),
+        head.target.decode("latin-1"),
+        headers,
+        b"".join(parts),
+    )
--- /dev/null
+++ b/packages/standins/src/quetzalward_standins/platform/_operator.py
@@ -0,0 +1,115 @@
+"""Stand-in of the operators, who write configurations to the store."""
+
+import json
+import time
+import typing
+
+from quetzalward_core import fleet
+from quetzalward_standins.platform import _store
+
+OPERATIONS_TOPIC = "keyed.op"
+HOST = "gateway.example"
+
+
+class Operator:
+    """Publishes configurations and evacuations."""
+
+    def __init__(self, store: _store.Store, engine: fleet.Engine) -> None:
+        """Write to a store; the engine is part of each configuration."""
+        self._store = store
+        self._engine = engine
+        self.version = 0
+        self.keys = {"north": ["key-north"], "south": ["key-south"]}
+        # When each key was taken away.
+        self.revoked_s_by_key: dict[str, float] = {}
+
+    def publish(self) -> None:
+        """Write the next configuration."""
+        self.version += 3
+        self._store.put(
+            OPERATIONS_TOPIC, "config", json.dumps(self._document()).encode()
+        )
+
+    def revoke(self, tenant: str) -> str:
+        """Take a customer's key away and give it another."""
+        old = self.keys[tenant].pop()
+        self.keys[tenant].append(f"key-{tenant}-{self.version}")
+        self.publish()
+        self.revoked_s_by_key[old] = time.monotonic()
+        return old
+
+    def evacuate(self, zone: str) -> None:
+        """Ask that nothing more be sent to a zone."""
+        self._store.put(OPERATIONS_TOPIC, f"evacuate/{zone}", b"{}")
+
+    def take_back(self, zone: str) -> None:
+        """End an evacuation."""
+        self._store.drop(OPERATIONS_TOPIC, f"evacuate/{zone}")
+
+    def _document(self) -> dict[str, typing.Any]:
+        return {
+            "version": self.version,
+            "routes": [
+                self._route("draft", "/draft/", "streaming", "pool", 2),
+                self._route("book", "/book/", "non_idempotent", "desk", 1),
+                self._route("stock", "/stock/", "idempotent", "desk", 2),
+            ],
+            "services": [
+                {"name": "pool", "engine": self._engine_document()},
+                {"name": "desk"},
+            ],
+            "limits": {"idleTimeoutMs": 15_000},
+            "tenants": [
+                {"name": name, "apiKeys": keys}
+                for name, keys in self.keys.items()
+            ],
+        }
+
+    @staticmethod
+    def _route(
+        name: str, prefix: str, kind: str, service: str, attempts: int
+    ) -> dict[str, typing.Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": prefix,
+            "kind": kind,
+            "timeoutMs": 6_000,
+            "sloMs": 400,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": attempts,
+            "anonymous": False,
+            "canResume": kind == "streaming",
+        }
+
+    def _engine_document(self) -> dict[str, typing.Any]:
+        engine = self._engine
+        return {
+            "slots": engine.slots,
+            "stride": engine.stride,
+            "step_ms": engine.step_ms,
+            "per_seq_ms": engine.per_sequence_ms,
+            "context_per_k": engine.context_ms_per_k,
+            "read_per_s": engine.read_tokens_per_ms * 1000,
+            "pairs_per_m": engine.pairs_ms_per_m,
+            "loadsPerS": engine.loads_per_s,
+            "loads_at_once": engine.loads_at_once,
+            "keeps": engine.keeps,
+            "formMs": engine.form_ms,
+            "usual": {
+                "prompt": engine.usual_prompt,
+                "answer": engine.usual_answer,
+            },
+            "models": [
+                {
+                    "name": model.name,
+                    "size": model.group_size,
+                    "share": model.share,
+                    "pace": model.pace,
+                    "loadS": model.load_ms / 1000,
+                    "warmS": model.warm_ms / 1000,
+                }
+                for model in engine.models_by_name.values()
+            ],
+        }
--- /dev/null
+++ b/packages/standins/src/quetzalward_standins/platform/_store.py
@@ -0,0 +1,166 @@
+"""Stand-in of the platform's store: keyed topics with conditional appends."""
+
+import asyncio
+import base64
+import json
+import random
+import struct
+
+import attrs
+
+from quetzalward_standins.platform import _http
+
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+# Topics that only operators and targets write.
+RESERVED = frozenset(("keyed.op", "keyed.servers"))
+
+
+@attrs.define
+class Faults:
+    """What the store does wrong at the moment."""
+
+    down: bool = False
+    # Added to each answer.
+    delay_s: float = 0.0
+    # Share of the appends that are done and not answered.
+    lost_share: float = 0.0
+
+
+@attrs.define
+class Topic:
+    """Records of one keyed topic, oldest first."""
+
+    records: list[tuple[str, bytes]] = attrs.field(factory=list)
+    # Records before this offset were deleted.
+    first: int = 0
+
+    def append(self, key: str, value: bytes) -> int:
+        """Add a record; return its offset."""
+        self.records.append((key, value))
+        return len(self.records) - 1
+
+    def newest(self) -> dict[str, tuple[int, bytes]]:
+        """Return the newest record of each key that still has a value."""
+        found: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, value) in enumerate(self.records):
+            found[key] = (offset, value)
+        return {key: row for key, row in found.items() if row[1]}
+
+
+class Store:
+    """The store, with its faults."""
+
+    def __init__(self, draw: random.Random) -> None:
+        """Start empty."""
+        self.faults = Faults()
+        self.topic_by_name: dict[str, Topic] = {}
+        self.calls = 0
+        self._draw = draw
+        self._changed = asyncio.Event()
+        self.server = _http.Server(self._handle)
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Write as an operator or a target does."""
+        offset = self._topic(topic).append(key, value)
+        self._notify()
+        return offset
+
+    def drop(self, topic: str, key: str) -> None:
+        """Remove a key, unless it has none."""
+        if key in self._topic(topic).newest():
+            self.put(topic, key, b"")
+
+    def forget(self, topic: str) -> None:
+        """Delete the history; the newest record of each key stays."""
+        found = self._topic(topic)
+        found.first = len(found.records)
+
+    def _topic(self, name: str) -> Topic:
+        return self.topic_by_name.setdefault(name, Topic())
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(
+        self, request: _http.Request, reply: _http.Reply
+    ) -> None:
+        self.calls += 1
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            reply.whole(503)
+            return
+        if request.path == "/log-append":
+            self._append(request, reply)
+        elif request.path == "/log-read":
+            await self._read(request, reply)
+        elif request.path == "/log-newest":
+            self._newest(request, reply)
+        else:
+            reply.whole(404)
+
+    def _append(self, request: _http.Request, reply: _http.Reply) -> None:
+        name = request.query["topic"]
+        if name in RESERVED:
+            reply.whole(403)
+            return
+        topic = self._topic(name)
+        at = request.query.get("at")
+        end = len(topic.records)
+        if at is not None and int(at) != end:
+            reply.whole(412, json.dumps({"end": end}).encode())
+            return
+        content = request.body[_LENGTH.size :]
+        size = content[0]
+        offset = topic.append(
+            content[1 : 1 + size].decode(), content[1 + size :]
+        )
+        self._notify()
+        if self._draw.random() < self.faults.lost_share:
+            reply.reset()
+            return
+        answer = {"offset": offset, "end": offset + 1}
+        reply.whole(200, json.dumps(answer).encode())
+
+    async def _read(self, request: _http.Request, reply: _http.Reply) -> None:
+        topic = self._topic(request.query["topic"])
+        start = int(request.query["from"])
+        wait_s = int(request.query.get("waitMs", "0")) / 1000
+        if start < topic.first:
+            reply.whole(410, json.dumps({"first": topic.first}).encode())
+            return
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while len(topic.records) <= start and loop.time() < until:
+            try:
+                async with asyncio.timeout_at(until):
+                    await self._changed.wait()
+            except TimeoutError:
+                break
+        if self.faults.down:
+            reply.reset()
+            return
+        body = _OFFSETS.pack(len(topic.records), topic.first)
+        for key, value in topic.records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += _LENGTH.pack(len(content)) + content
+        reply.whole(200, body)
+
+    def _newest(self, request: _http.Request, reply: _http.Reply) -> None:
+        topic = self._topic(request.query["topic"])
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in topic.newest().items()
+        ]
+        answer = {
+            "items": items,
+            "hasMore": False,
+            "end": len(topic.records),
+        }
+        reply.whole(200, json.dumps(answer).encode())
--- /dev/null
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -0,0 +1,336 @@
+"""Stand-in of the platform's targets: model engines and plain services.
+
+The groups follow `GroupFleet`; this module serves them over HTTP, runs
+requests and records what was run, so that promises can be checked.
+"""
+
+import asyncio
+import json
+import random
+import time
+
+import attrs
+
+from quetzalward_core import fleet
+from quetzalward_core import grouping
+from quetzalward_standins import group_targets
+from quetzalward_standins.platform import _http
+from quetzalward_standins.platform import _store
+
+TARGETS_TOPIC = "keyed.servers"
+SEAL = "Quetzalward-Replica-Seal"
+_STATUS_BY_ANSWER = {
+    grouping.OrderAnswer.BEGUN: 202,
+    grouping.OrderAnswer.DONE: 200,
+    grouping.OrderAnswer.CONFLICT: 409,
+    grouping.OrderAnswer.STALE: 412,
+}
+TICK_S = 0.02
+
+
+@attrs.frozen
+class Run:
+    """A request that a target ran."""
+
+    attempt_id: str
+    target_id: str
+    service: str
+    tenant: str | None
+    at_s: float
+    key_header: str | None
+
+
+@attrs.define
+class PlainTarget:
+    """A target of the plain service."""
+
+    id: str
+    port: int = 0
+    alive: bool = True
+    draining_s: float | None = None
+
+
+class Targets:
+    """All targets, their entries in the store, and what they ran."""
+
+    def __init__(
+        self,
+        store: _store.Store,
+        engine: fleet.Engine,
+        draw: random.Random,
+        domains: int,
+        hosts: int,
+        plain: int,
+    ) -> None:
+        """Describe the fleet; `start` makes it listen."""
+        self.store = store
+        self.fleet = group_targets.GroupFleet(engine, "pool")
+        self.runs: list[Run] = []
+        self.refused: set[str] = set()
+        self.plain_by_id = {
+            f"p{n}": PlainTarget(f"p{n}") for n in range(plain)
+        }
+        # When a target's leaving was written to the store.
+        self.left_s_by_id: dict[str, float] = {}
+        self.pause_s = 0.03
+        self.break_share = 0.0
+        self._draw = draw
+        self._server_by_id: dict[str, _http.Server] = {}
+        self._port_by_id: dict[str, int] = {}
+        self._entry_by_id: dict[str, bytes] = {}
+        self._started_s = time.monotonic()
+        for domain in range(domains):
+            for host in range(hosts):
+                zone = f"z{domain % 3}"
+                self.fleet.add(f"t{domain}-{host}", f"d{domain}", zone)
+
+    async def start(self) -> None:
+        """Listen with every target."""
+        for target_id in [*self.fleet.target_by_id, *self.plain_by_id]:
+            await self._listen(target_id)
+
+    async def run(self) -> None:
+        """Let time pass for the groups and keep the entries written."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_ms = int((time.monotonic() - self._started_s) * 1000)
+            self.fleet.advance(now_ms - self.fleet.now_ms)
+            self._write_entries()
+
+    async def _listen(self, target_id: str) -> None:
+        async def handle(request: _http.Request, reply: _http.Reply) -> None:
+            await self._serve(target_id, request, reply)
+
+        server = _http.Server(handle)
+        port = self._port_by_id.get(target_id, 0)
+        self._port_by_id[target_id] = await server.start(port)
+        self._server_by_id[target_id] = server
+
+    # Entries.
+
+    def _write_entries(self) -> None:
+        listed = {entry.id: entry for entry in self.fleet.entries()}
+        for target_id, target in self.fleet.target_by_id.items():
+            if target_id in listed and target.alive:
+                self._write(target_id, self._entry(listed[target_id]))
+            elif target_id not in listed:
+                self._remove(target_id)
+        for plain in self.plain_by_id.values():
+            if plain.alive:
+                self._write(plain.id, self._plain_entry(plain))
+            else:
+                self._remove(plain.id)
+
+    def _write(self, target_id: str, value: dict[str, object]) -> None:
+        data = json.dumps(value).encode()
+        if self._entry_by_id.get(target_id) != data:
+            self._entry_by_id[target_id] = data
+            self.store.put(TARGETS_TOPIC, target_id, data)
+            if value["state"] == "draining":
+                self.left_s_by_id.setdefault(target_id, time.monotonic())
+
+    def _remove(self, target_id: str) -> None:
+        if self._entry_by_id.pop(target_id, None) is not None:
+            self.store.drop(TARGETS_TOPIC, target_id)
+            self.left_s_by_id.setdefault(target_id, time.monotonic())
+
+    def _entry(self, entry: fleet.Target) -> dict[str, object]:
+        seat = entry.membership
+        return {
+            "service": entry.service,
+            "address": f"127.0.0.1:{self._port_by_id[entry.id]}",
+            "zone": entry.zone,
+            "version": "v1",
+            "slots": entry.slots,
+            "state": "draining" if entry.draining else "ready",
+            "coldLeftMs": 0,
+            "sequence": 1,
+            "born": entry.born_ms,
+            "domain": entry.domain,
+            "staged": list(entry.staged_models),
+            "group": _seat(seat),
+        }
+
+    def _plain_entry(self, plain: PlainTarget) -> dict[str, object]:
+        state = "ready" if plain.draining_s is None else "draining"
+        return {
+            "service": "desk",
+            "address": f"127.0.0.1:{self._port_by_id[plain.id]}",
+            "zone": "z0",
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "coldLeftMs": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+
+    # Faults.
+
+    def kill(self, target_id: str) -> None:
+        """Stop a target; its connections break."""
+        if target_id in self.plain_by_id:
+            self.plain_by_id[target_id].alive = False
+        else:
+            self.fleet.kill(target_id)
+        self._server_by_id[target_id].close()
+
+    async def restart(self, target_id: str) -> None:
+        """Start a target again at its address."""
+        if target_id in self.plain_by_id:
+            self.plain_by_id[target_id].alive = True
+        else:
+            self.fleet.restart(target_id)
+        self.left_s_by_id.pop(target_id, None)
+        await self._listen(target_id)
+
+    # Requests.
+
+    async def _serve(
+        self, target_id: str, request: _http.Request, reply: _http.Reply
+    ) -> None:
+        target = self.fleet.target_by_id.get(target_id)
+        if request.path == "/report" and target is not None:
+            reply.whole(200, json.dumps(self._report(target_id)).encode())
+            return
+        if request.path == "/order" and target is not None:
+            self._order(target_id, request, reply)
+            return
+        expected = request.headers.get("quetzalward-expect-replica")
+        if expected != target_id:
+            reply.whole(421, b"", {"Quetzalward-Not-Executed": "1"})
+            return
+        if target is None:
+            await self._run_plain(target_id, request, reply)
+        else:
+            await self._run_stream(target, request, reply)
+
+    def _report(self, target_id: str) -> dict[str, object]:
+        report = self.fleet.report(target_id)
+        assert report is not None
+        return {
+            "born": report.born_ms,
+            "staged": list(report.staged_models),
+            "group": _seat(report.membership),
+            "inUse": report.ordered,
+            "queued": 0,
+            "active": 0,
+            "pace": 1.0,
+        }
+
+    def _order(
+        self, target_id: str, request: _http.Request, reply: _http.Reply
+    ) -> None:
+        order = _decode_order(target_id, json.loads(request.body))
+        answer = self.fleet.order(order)
+        reply.whole(_STATUS_BY_ANSWER.get(answer, 409))
+
+    def _note_run(self, target_id: str, request: _http.Request) -> str:
+        attempt_id = request.headers.get("quetzalward-attempt-id", "")
+        service = "desk" if target_id in self.plain_by_id else "pool"
+        self.runs.append(
+            Run(
+                attempt_id,
+                target_id,
+                service,
+                request.headers.get("quetzalward-tenant"),
+                time.monotonic(),
+                request.headers.get("authorization"),
+            )
+        )
+        return attempt_id
+
+    async def _run_plain(
+        self, target_id: str, request: _http.Request, reply: _http.Reply
+    ) -> None:
+        attempt_id = self._note_run(target_id, request)
+        await asyncio.sleep(0.01)
+        headers = {SEAL: "s", "Quetzalward-Attempt-Id": attempt_id}
+        if self._draw.random() < self.break_share:
+            reply.start(200, {"content-length": "100", **headers})
+            reply.part(b"part")
+            await asyncio.sleep(0.01)
+            reply.reset()
+            return
+        reply.whole(200, f"ran {attempt_id}".encode(), headers)
+
+    async def _run_stream(
+        self,
+        target: group_targets.GroupTarget,
+        request: _http.Request,
+        reply: _http.Reply,
+    ) -> None:
+        seat = target.seat
+        if seat is None or seat.state is not fleet.MemberState.OPEN:
+            reply.whole(503, b"", {"Quetzalward-Not-Executed": "1"})
+            return
+        start = int(request.headers.get("last-event-id", "0"))
+        attempt_id = ""
+        count = int(request.headers["quetzalward-token-count"].split(",")[1])
+        for number in range(start + 1, count + 1):
+            while not self._is_whole(seat):
+                await asyncio.sleep(self.pause_s)
+            if not attempt_id:
+                attempt_id = self._note_run(target.id, request)
+                reply.start(
+                    200,
+                    {
+                        SEAL: target.id,
+                        "Quetzalward-Attempt-Id": attempt_id,
+                        "content-type": "text/event-stream",
+                        "transfer-encoding": "chunked",
+                    },
+                )
+            event = f"id: {number}\ndata: {attempt_id}:{number}\n\n".encode()
+            if self._draw.random() < self.break_share / count:
+                reply.part(event[:5])
+                reply.reset()
+                return
+            reply.part(event)
+            await asyncio.sleep(self.pause_s)
+        reply.end()
+
+    def _is_whole(self, seat: group_targets.Seat) -> bool:
+        """Tell whether a group can work; otherwise it stands still."""
+        for member in seat.members:
+            other = self.fleet.target_by_id[member]
+            if not other.alive or other.seat is None:
+                return False
+            if (other.seat.group, other.seat.epoch) != (
+                seat.group,
+                seat.epoch,
+            ):
+                return False
+        return True
+
+
+def _seat(seat: fleet.Membership | None) -> dict[str, object] | None:
+    if seat is None:
+        return None
+    return {
+        "name": seat.group,
+        "epoch": seat.epoch,
+        "rank": seat.rank,
+        "state": seat.state.value,
+    }
+
+
+def _decode_order(target_id: str, body: dict[str, object]) -> grouping.Order:
+    """Return the order of a body."""
+    kind = body["op"]
+    if kind == "stage":
+        return grouping.Stage(target_id, str(body["model"]))
+    group, epoch = str(body["group"]), int(str(body["epoch"]))
+    if kind == "join":
+        members = body["members"]
+        assert isinstance(members, list)
+        return grouping.Join(
+            target_id, group, epoch, str(body["model"]), tuple(members)
+        )
+    if kind == "open":
+        return grouping.Open(target_id, group, epoch)
+    if kind == "leave":
+        return grouping.Leave(target_id, group, epoch)
+    return grouping.Close(
+        target_id, group, epoch, body.get("closeMode") == "truncate"
+    )
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -40,6 +40,7 @@
         "quetzalward_core",
         "quetzalward_wire",
         "quetzalward_node",
+        "quetzalward_gateway",
         "quetzalward_cli",
         "quetzalward_standins",
     },
