--- a/packages/standins/src/quetzalward_standins/platform/_http.py
+++ b/packages/standins/src/quetzalward_standins/platform/_http.py
@@ -141,6 +141,7 @@
             if task not in done:
                 # The caller left, or sent a second request too early.
                 task.cancel()
+                await asyncio.gather(task, watch, return_exceptions=True)
                 return
             watch.cancel()
             await asyncio.gather(watch, return_exceptions=True)
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -265,22 +265,22 @@
             reply.whole(503, b"", {"Quetzalward-Not-Executed": "1"})
             return
         start = int(request.headers.get("last-event-id", "0"))
-        attempt_id = ""
         count = int(request.headers["quetzalward-token-count"].split(",")[1])
+        while not self._is_whole(seat):
+            await asyncio.sleep(self.pause_s)
+        attempt_id = self._note_run(target.id, request)
+        reply.start(
+            200,
+            {
+                SEAL: target.id,
+                "Quetzalward-Attempt-Id": attempt_id,
+                "content-type": "text/event-stream",
+                "transfer-encoding": "chunked",
+            },
+        )
         for number in range(start + 1, count + 1):
             while not self._is_whole(seat):
                 await asyncio.sleep(self.pause_s)
-            if not attempt_id:
-                attempt_id = self._note_run(target.id, request)
-                reply.start(
-                    200,
-                    {
-                        SEAL: target.id,
-                        "Quetzalward-Attempt-Id": attempt_id,
-                        "content-type": "text/event-stream",
-                        "transfer-encoding": "chunked",
-                    },
-                )
             event = f"id: {number}\ndata: {attempt_id}:{number}\n\n".encode()
             if self._draw.random() < self.break_share / count:
                 reply.part(event[:5])
