Joins say which orders the target must have accepted

Change: a join that takes a host from no group names the orders that the host reported as accepted, and is refused otherwise; relayed records are bounded to 12 kB a message. Test: test_joins_on_a_stale_view breaks the rule without it.

--- a/packages/core/src/quetzalward_core/fleet/_model.py
+++ b/packages/core/src/quetzalward_core/fleet/_model.py
@@ -187,6 +187,8 @@
     staged_models: tuple[str, ...]
     membership: Membership | None
     ordered: bool
+    # Orders accepted in this life.
+    sequence: int
     queued: int
     active: int
     pace: float
--- a/packages/core/src/quetzalward_core/grouping/_coordinator.py
+++ b/packages/core/src/quetzalward_core/grouping/_coordinator.py
@@ -91,7 +91,10 @@
     ) -> None:
         """Take what became of an order."""
         host = self.host_by_id.get(order.target_id)
-        if host is None or answer is _model.OrderAnswer.UNANSWERED:
+        if host is None:
+            return
+        host.sequence = None
+        if answer is _model.OrderAnswer.UNANSWERED:
             return
         if answer is _model.OrderAnswer.UNREACHABLE:
             host.suspect_until_ms = now_ms + _roster.SUSPECT_MS
--- a/packages/core/src/quetzalward_core/grouping/_formation.py
+++ b/packages/core/src/quetzalward_core/grouping/_formation.py
@@ -8,9 +8,6 @@
 from quetzalward_core.grouping import _pattern
 from quetzalward_core.grouping import _roster
 
-# A sign of life this old no longer proves that a target can join.
-CERTAIN_MS = 1_500
-
 
 class Formation:
     """Decides which hosts form which group."""
@@ -63,7 +60,7 @@
             host
             for host in members
             if host.alive_ms < group.since_ms
-            or now_ms - host.alive_ms > CERTAIN_MS
+            or now_ms - host.alive_ms > _roster.CERTAIN_MS
         ]
         for host in unsure:
             self._roster.probe(host.id, now_ms, commands)
--- a/packages/core/src/quetzalward_core/grouping/_lifecycle.py
+++ b/packages/core/src/quetzalward_core/grouping/_lifecycle.py
@@ -64,7 +64,15 @@
     ) -> None:
         """Order the members that have not accepted it to join."""
         for member in group.members:
-            if member in group.ready or member in group.accepted:
+            host = self._roster.host_by_id.get(member)
+            if host is None or member in group.accepted:
+                continue
+            if member in group.ready or host.is_in(group.name, group.epoch):
+                continue
+            if not host.is_free_for(group.name, _roster.STANDBY_PREFIX):
+                continue
+            sequence = self._roster.sequence_of(host, now_ms, commands)
+            if sequence is None:
                 continue
             if self._is_due(group, member, now_ms):
                 commands.append(
@@ -74,6 +82,7 @@
                         group.epoch,
                         group.model,
                         group.members,
+                        sequence,
                     )
                 )
 
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -19,6 +19,10 @@
     model: str
     # The first one is the head.
     members: tuple[str, ...]
+    # Orders that the target must have accepted so far, or it refuses. An
+    # order that another coordinator gave meanwhile, or that is carried out
+    # late, cannot take a target out of its group.
+    sequence: int | None = None
 
 
 @attrs.frozen
@@ -160,6 +164,8 @@
     # Last sign of life: an entry, a report or an answer to an order.
     alive_ms: clock.Millis
     reported_ms: clock.Millis = -1
+    # Orders accepted by the target, known until the next order to it.
+    sequence: int | None = None
     probed_ms: clock.Millis | None = None
     suspect_until_ms: clock.Millis = 0
     staging: str | None = None
@@ -196,6 +202,15 @@
         if self.staging is not None and self.staging in staged:
             self.staging = None
 
+    def is_free_for(self, group: str, standby: str) -> bool:
+        """Tell whether a join of a group takes the host from no other."""
+        seat = self.membership
+        return (
+            seat is None
+            or seat.group == group
+            or seat.group.startswith(standby)
+        )
+
     def note_staging(self, model: str, answer: OrderAnswer) -> None:
         """Take the answer to an order to stage."""
         if answer is OrderAnswer.DONE:
--- a/packages/core/src/quetzalward_core/grouping/_roster.py
+++ b/packages/core/src/quetzalward_core/grouping/_roster.py
@@ -12,6 +12,8 @@
 PROBE_MS = 400
 # A target that does not answer is left out for this long, then tried again.
 SUSPECT_MS = 2_500
+# A report this old no longer proves what a target is.
+CERTAIN_MS = 1_500
 # Names of groups of one target that only keep it warm.
 STANDBY_PREFIX = "standby"
 
@@ -65,6 +67,7 @@
         host.alive_ms = now_ms
         host.reported_ms = now_ms
         host.suspect_until_ms = 0
+        host.sequence = report.sequence
         host.take(report.membership, report.staged_models)
 
     def is_usable(self, target_id: str, now_ms: clock.Millis) -> bool:
@@ -109,6 +112,18 @@
             host.probed_ms = now_ms
             commands.append(_model.Probe(target_id))
 
+    def sequence_of(
+        self,
+        host: _model.Host,
+        now_ms: clock.Millis,
+        commands: list[_model.Command],
+    ) -> int | None:
+        """Return the orders a target has accepted, asking it if need be."""
+        if host.sequence is None or now_ms - host.reported_ms > CERTAIN_MS:
+            self.probe(host.id, now_ms, commands)
+            return None
+        return host.sequence
+
     # Groups.
 
     def add(self, group: _model.Group) -> None:
--- a/packages/core/src/quetzalward_core/grouping/_spares.py
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -61,12 +61,17 @@
             if last is not None and now_ms - last < WARM_RETRY_MS:
                 continue
             model = host.kept_model
-            if model in engine.models_by_name:
+            if model not in engine.models_by_name:
+                continue
+            sequence = self._roster.sequence_of(host, now_ms, commands)
+            if sequence is not None:
                 self._warmed_ms_by_id[host.id] = now_ms
                 epoch = self._next_epoch()
                 name = f"{_roster.STANDBY_PREFIX}{epoch}.{model}"
                 commands.append(
-                    _model.Join(host.id, name, epoch, model, (host.id,))
+                    _model.Join(
+                        host.id, name, epoch, model, (host.id,), sequence
+                    )
                 )
 
     def wishes(
--- a/packages/core/tests/grouping/test_coordinator.py
+++ b/packages/core/tests/grouping/test_coordinator.py
@@ -2,10 +2,34 @@
 
 import unittest
 
+import attrs
 from grouping import builders
 from quetzalward_core import grouping
 
 
+def overlap_terms(world: builders.World) -> None:
+    """Run two coordinators, the later one with a view from before.
+
+    It saw hosts as free that the earlier one has put into open groups.
+    """
+    world.run(6_000)
+    stale = [
+        attrs.evolve(entry, membership=None) for entry in world.fleet.entries()
+    ]
+    early = world.coordinator
+    world.elect(before_traffic=True)
+    late = world.coordinator
+    late.configure(world.engine)
+    for _ in range(60):
+        world.fleet.advance(builders.TICK_MS)
+        now_ms = world.fleet.now_ms
+        for entry in stale:
+            late.observe(entry, now_ms)
+        for command in late.tick(now_ms):
+            world.carry_out(late, command)
+        world.tick(early)
+
+
 class FormationTest(unittest.TestCase):
     """Guards against a fleet that is not serving when traffic starts."""
 
@@ -80,6 +104,16 @@
         self.world.run(9_000)
         self.assertEqual([], self.world.fleet.breaches)
 
+    def test_stale_view_takes_no_host_from_its_group(self) -> None:
+        """A coordinator that has not seen a join yet does not undo it.
+
+        Two terms overlap at the start of a large fleet: the later one saw
+        the hosts as free that the earlier one had just put into groups.
+        """
+        world = builders.World()
+        overlap_terms(world)
+        self.assertEqual([], world.fleet.breaches)
+
     def test_silent_group_with_living_members_is_formed_anew(self) -> None:
         """A member that lost its head is not found by asking it."""
         group = self.world.coordinator.open_groups()[0]
--- a/packages/core/tests/grouping/test_deliberate_faults.py
+++ b/packages/core/tests/grouping/test_deliberate_faults.py
@@ -3,12 +3,16 @@
 import unittest
 from unittest import mock
 
+from grouping import builders
+from grouping import test_coordinator
 from grouping import test_fuzz
 from quetzalward_core.grouping import _coordinator
 from quetzalward_core.grouping import _lifecycle
 from quetzalward_core.grouping import _loads
+from quetzalward_core.grouping import _model
 from quetzalward_core.grouping import _roster
 from quetzalward_core.grouping import _spares
+from quetzalward_standins import group_targets
 
 SEEDS = range(6)
 
@@ -48,9 +52,27 @@
         with (
             mock.patch.object(_roster.Roster, "free", free),
             mock.patch.object(_coordinator.Coordinator, "_release_strangers"),
+            mock.patch.object(_model.Host, "is_free_for", lambda *_: True),
         ):
             self.assertTrue(self.find())
 
+    def test_joins_on_a_stale_view(self) -> None:
+        """Joins without asking the target first are noticed."""
+
+        def guess(*_: object) -> int:
+            return 0
+
+        world = builders.World()
+        with (
+            mock.patch.object(_roster.Roster, "sequence_of", guess),
+            mock.patch.object(_model.Host, "is_free_for", lambda *_: True),
+            mock.patch.object(
+                group_targets.GroupFleet, "is_expected", lambda *_: True
+            ),
+        ):
+            test_coordinator.overlap_terms(world)
+        self.assertNotEqual([], world.fleet.breaches)
+
     def test_opening_before_all_are_ready(self) -> None:
         """A head opened for a group that is not whole is noticed."""
         states = _lifecycle.READY_STATES | {None}
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -28,6 +28,8 @@
 RELAY_LOOK_MS = 100
 # Records are relayed for so long; a node that missed more reads the store.
 RELAY_MS = 1_500
+# Larger messages are lost on a full link, and the coordinator with them.
+RELAY_BYTES = 12_000
 # After an error: at once, then slower; a busy store is not pressed harder.
 FIRST_RETRY_MS = 60
 MAX_RETRY_MS = 500
@@ -276,7 +278,14 @@
         bound_ms = self._runtime.now_ms() - RELAY_MS
         while self._recent and self._recent[0][0] < bound_ms:
             self._recent.popleft()
-        return tuple(record for _, record in self._recent)
+        kept: list[coordination.RelayedRecord] = []
+        size = 0
+        for _, record in reversed(self._recent):
+            size += len(record.value or "") + len(record.key)
+            if size > RELAY_BYTES:
+                break
+            kept.append(record)
+        return tuple(reversed(kept))
 
     def relayed(
         self, view: coordination.StoreView, echo_ms: clock.Millis | None
--- a/packages/standins/src/quetzalward_standins/group_targets.py
+++ b/packages/standins/src/quetzalward_standins/group_targets.py
@@ -53,6 +53,8 @@
     staging: str | None = None
     staging_until_ms: clock.Millis = 0
     heartbeat_ms: clock.Millis = 0
+    # Orders that began something in this life.
+    sequence: int = 0
     # A cut from the store: alive and open, but its entry lapses.
     unlisted: bool = False
 
@@ -90,6 +92,7 @@
         target.draining = False
         target.seat = None
         target.epoch_seen = 0
+        target.sequence = 0
         target.last_model = None
         target.staging = None
         target.born_ms = self.now_ms + 1
@@ -148,6 +151,7 @@
             tuple(target.staged),
             self._membership(target),
             target.staging is not None,
+            target.sequence,
             0,
             0,
             1.0,
@@ -221,6 +225,12 @@
 
     def order(self, order: grouping.Order) -> grouping.OrderAnswer:
         """Carry out an order and return its answer."""
+        answer = self._carry_out(order)
+        if answer is grouping.OrderAnswer.BEGUN:
+            self.target_by_id[order.target_id].sequence += 1
+        return answer
+
+    def _carry_out(self, order: grouping.Order) -> grouping.OrderAnswer:
         target = self.target_by_id.get(order.target_id)
         if target is None or not target.alive:
             return grouping.OrderAnswer.UNREACHABLE
@@ -236,10 +246,11 @@
             return grouping.OrderAnswer.CONFLICT
         if isinstance(order, grouping.Leave):
             target.seat = None
-            return grouping.OrderAnswer.DONE
+            return grouping.OrderAnswer.BEGUN
         if isinstance(order, grouping.Close):
             if seat.state in _TAKING:
                 seat.state = fleet.MemberState.READY
+                return grouping.OrderAnswer.BEGUN
             return grouping.OrderAnswer.DONE
         return self._open(seat, target)
 
@@ -263,6 +274,8 @@
         seat = target.seat
         if order.epoch < target.epoch_seen:
             return grouping.OrderAnswer.STALE
+        if not self.is_expected(target, order):
+            return grouping.OrderAnswer.CONFLICT
         if seat is not None and (seat.group, seat.epoch) == (
             order.group,
             order.epoch,
@@ -291,6 +304,11 @@
         )
         return grouping.OrderAnswer.BEGUN
 
+    @staticmethod
+    def is_expected(target: GroupTarget, order: grouping.Join) -> bool:
+        """Tell whether a target has accepted what the order expects."""
+        return order.sequence in (None, target.sequence)
+
     def _open(self, seat: Seat, target: GroupTarget) -> grouping.OrderAnswer:
         if seat.state in _TAKING:
             return grouping.OrderAnswer.DONE
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -213,6 +213,7 @@
             "staged": list(report.staged_models),
             "group": _seat(report.membership),
             "inUse": report.ordered,
+            "sequence": report.sequence,
             "queued": 0,
             "active": 0,
             "pace": 1.0,
@@ -324,8 +325,14 @@
     if kind == "join":
         members = body["members"]
         assert isinstance(members, list)
+        sequence = body.get("precondition")
         return grouping.Join(
-            target_id, group, epoch, str(body["model"]), tuple(members)
+            target_id,
+            group,
+            epoch,
+            str(body["model"]),
+            tuple(members),
+            None if sequence is None else int(str(sequence)),
         )
     if kind == "open":
         return grouping.Open(target_id, group, epoch)
