--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -14,6 +14,7 @@
 from quetzalward_gateway import _server
 from quetzalward_gateway import _settings
 from quetzalward_gateway import _state
+from quetzalward_gateway import _status_server
 from quetzalward_gateway import _sync
 
 # After this time the balancer has noticed two missed readiness checks and
@@ -41,7 +42,8 @@
         self._callers = _server.CallerServer(
             self._handle, state.limits, time_source.now_ms
         )
-        self._readiness = _server.ReadinessServer(self._is_ready)
+        self._readiness = _status_server.StatusServer(self._readiness_answer)
+        self._metrics = _status_server.StatusServer(self._metrics_answer)
         self._operations = _sync.OperationsFollower(
             self.runtime, self._is_holder
         )
@@ -50,6 +52,7 @@
             self.runtime, settings, self._operations, self._targets
         )
         self._stopping = False
+        self._was_ready = False
 
     async def _handle(
         self, raw: _server.RawRequest, responder: _server.Responder
@@ -65,6 +68,23 @@
             and state.freshness.is_ready(self.runtime.boot_ms())
         )
 
+    def _readiness_answer(self) -> _status_server.StatusAnswer:
+        ready = self._is_ready()
+        if ready is not self._was_ready:
+            self._was_ready = ready
+            self.runtime.log.event(
+                "ready" if ready else "not_ready",
+                configuration_age_ms=self.runtime.state.freshness.age_ms(
+                    self.runtime.boot_ms()
+                ),
+                stopping=self._stopping,
+            )
+        return _status_server.StatusAnswer(200 if ready else 503)
+
+    def _metrics_answer(self) -> _status_server.StatusAnswer:
+        text = self.runtime.metrics.text()
+        return _status_server.StatusAnswer(200, text.encode())
+
     def _is_holder(self) -> bool:
         return self._duty.is_holder
 
@@ -79,6 +99,7 @@
         log.event("start", zone=self._settings.zone)
         await self._callers.start(self._settings.callers)
         await self._readiness.start(self._settings.readiness)
+        await self._serve_metrics()
         followers = (
             self._operations,
             self._targets,
@@ -98,6 +119,16 @@
             task.cancel()
         log.event("stop", in_flight=self._callers.in_flight)
 
+    async def _serve_metrics(self) -> None:
+        """Serve metrics, which a node can do without."""
+        address = self._settings.metrics
+        if address is None:
+            return
+        try:
+            await self._metrics.start(address)
+        except OSError as error:
+            self.runtime.log.event("metrics_unavailable", reason=str(error))
+
     def _reloaded(self) -> None:
         self.runtime.log.event(
             "reload", reason="settings are read at the next start"
--- a/packages/gateway/src/quetzalward_gateway/_settings.py
+++ b/packages/gateway/src/quetzalward_gateway/_settings.py
@@ -36,7 +36,6 @@
     # coordinator's duty.
     cores: float = 1.0
     link_mbps: float = 1000.0
-    # Machines that the whole system is known to lose at once at most; used
-    # only until the coordinator has counted the nodes.
+    # Nodes to assume until the coordinator has counted them.
     nodes: int = 8
     metrics: fleet.Address | None = None
