Log each answered request with what decided its place

Cause: on-call engineers could follow refused and failed requests, not late ones; and 75 nodes claimed the first term at once. Change: one line for each served stream and call; nodes look for a term after their own delay; the coordinator's reads are spaced with its messages.

--- a/packages/core/src/quetzalward_core/coordination/_election.py
+++ b/packages/core/src/quetzalward_core/coordination/_election.py
@@ -38,6 +38,7 @@
 
     node: str
     stagger_ms: clock.Millis
+    started_ms: clock.Millis = 0
     term: Term | None = None
     _heard_ms: clock.Millis | None = None
     _learned_ms: clock.Millis | None = None
@@ -86,7 +87,8 @@
         if now_ms < self._rest_until_ms:
             return False
         if self._heard_ms is None and self._learned_ms is None:
-            return True
+            # Nodes that start together would all claim the first term.
+            return now_ms - self.started_ms >= self.stagger_ms
         wait = SILENCE_MS + self.stagger_ms
         if self._heard_ms is not None and now_ms - self._heard_ms < wait:
             return False
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -67,6 +67,7 @@
         self._election = coordination.Election(
             settings.node,
             stagger + (coordination.WEAK_DELAY_MS if weak else 0),
+            runtime.now_ms(),
         )
         self._socket = _peers.PeerSocket(self._received, runtime.log)
         self._client = _http.HttpClient(runtime.now_ms)
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -44,6 +44,7 @@
     reason: str = ""
     head: _ports.TargetAnswer | None = None
     body: bytes = b""
+    target_id: str = ""
 
 
 async def run(call: _runtime.Call) -> None:
@@ -114,6 +115,7 @@
     head = attempt.head
     assert head is not None
     call.runtime.metrics.count("answered", str(head.status))
+    call.note("answered", status=head.status, target=attempt.target_id)
     call.runtime.metrics.latency(
         "plain", call.runtime.now_ms() - call.raw.received_ms
     )
@@ -142,6 +144,7 @@
     finally:
         outcomes.ended(target.id)
         channel.abort()
+    attempt = attrs.evolve(attempt, target_id=target.id)
     latency_ms = runtime.now_ms() - started_ms
     ok = attempt.result is _Result.ANSWERED and (
         attempt.head is not None and attempt.head.status < 500
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -45,6 +45,9 @@
 
     site: GroupSite
     first_event_ms: float
+    # Requests at the group as known, and the age of what others told.
+    load: float
+    load_age_ms: clock.Millis | None
     engine: fleet.Engine
     model: fleet.Model
 
@@ -259,7 +262,16 @@
         if isinstance(choice, placing.Refusal):
             return choice
         site = site_by_group[choice.group]
-        return StreamPlace(site, choice.first_event_ms, engine, model)
+        load = self.load_of(site.key)
+        age_ms = None if load.others_ms is None else now_ms - load.others_ms
+        return StreamPlace(
+            site,
+            choice.first_event_ms,
+            load.load(now_ms).active,
+            age_ms,
+            engine,
+            model,
+        )
 
     def _takes_work(
         self,
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -80,6 +80,7 @@
         self._first_event_ms: clock.Millis | None = None
         self._event_ms = call.raw.received_ms
         self._reading_tokens = 0
+        self._longest_pause_ms: clock.Millis = 0
 
     async def run(self) -> None:
         """Serve the stream."""
@@ -98,7 +99,7 @@
                 break
             last = await self._attempt(place)
             if last.result is _Result.COMPLETE:
-                self._note_complete()
+                self._note_complete(place)
                 return
             self._note_failure(place, last)
             if not self._may_go_on(last):
@@ -144,13 +145,27 @@
 
     # Ends.
 
-    def _note_complete(self) -> None:
+    def _note_complete(self, place: _state.StreamPlace) -> None:
         call = self._call
+        first_ms = None
+        if self._first_event_ms is not None:
+            first_ms = self._first_event_ms - call.raw.received_ms
+        call.note(
+            "stream",
+            group=place.site.entry.name,
+            epoch=place.site.entry.epoch,
+            target=place.site.head.id,
+            predicted_ms=round(place.first_event_ms),
+            load=round(place.load, 1),
+            load_age_ms=place.load_age_ms,
+            first_ms=first_ms,
+            longest_pause_ms=self._longest_pause_ms,
+            runs=self._ran,
+        )
         metrics = call.runtime.metrics
         metrics.count("answered", "200")
-        if self._first_event_ms is not None:
-            first = self._first_event_ms - call.raw.received_ms
-            metrics.latency("first_event", first)
+        if first_ms is not None:
+            metrics.latency("first_event", first_ms)
         if self._ran > 1:
             metrics.count("resumed")
 
@@ -397,6 +412,9 @@
             )
             load.paced(now_ms - self._event_ms, predicted)
         load.produced(now_ms)
+        if self._call.responder.started:
+            pause_ms = now_ms - self._event_ms
+            self._longest_pause_ms = max(self._longest_pause_ms, pause_ms)
         self._event_ms = now_ms
 
     async def _wait(
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -22,7 +22,8 @@
 TARGETS_WAIT_MS = 2_500
 # The coordinator's reads are shorter, since the other nodes rely on them.
 HOLDER_WAIT_MS = 500
-HOLDER_INTERVAL_MS = 60
+# Its reads are spaced by this part of the interval between its messages.
+HOLDER_INTERVAL_SHARE = 0.4
 # A node reads by itself if what the coordinator relays is older than this.
 RELAY_MAX_AGE_MS = 1_000
 RELAY_LOOK_MS = 100
@@ -326,9 +327,10 @@
 
     async def _pause(self) -> None:
         self._expire()
-        interval_ms = TARGETS_INTERVAL_MS
+        state_ms = self._runtime.state.message_ms()
+        interval_ms: float = TARGETS_INTERVAL_MS
         if self._is_holder():
-            interval_ms = HOLDER_INTERVAL_MS
+            interval_ms = HOLDER_INTERVAL_SHARE * state_ms
         await asyncio.sleep(interval_ms / clock.MILLIS_PER_SECOND)
 
     def _take_all(self, page: _ports.Page, sent_ms: clock.Millis) -> None:
