Share how slow each group is

Cause: on 75 nodes each sees a group's pauses too rarely to learn that one of its members is slow, so slow groups got as much work as the others. Change: nodes report the mean of their measured pauses, the coordinator smooths them over all nodes and sends them back; relays may hold 40 kB.

--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -23,6 +23,10 @@
     event_age_ms: int
     # The group produces nothing for work that it has.
     stalled: bool = False
+    # Measured against predicted pauses: from one node the mean of the last
+    # `paces` pauses, from the coordinator the smoothed mean of all nodes.
+    slowness: float = 1.0
+    paces: int = 0
 
 
 @attrs.frozen
--- a/packages/core/src/quetzalward_core/placing/__init__.py
+++ b/packages/core/src/quetzalward_core/placing/__init__.py
@@ -13,6 +13,7 @@
 from quetzalward_core.placing._cost import pass_ms
 from quetzalward_core.placing._cost import Prompt
 from quetzalward_core.placing._loads import GroupLoad
+from quetzalward_core.placing._loads import smooth
 from quetzalward_core.placing._outcomes import choose_target
 from quetzalward_core.placing._outcomes import Outcomes
 
@@ -31,5 +32,6 @@
     "choose_target",
     "first_event_ms",
     "pass_ms",
+    "smooth",
     "spread_return",
 ]
--- a/packages/core/src/quetzalward_core/placing/_loads.py
+++ b/packages/core/src/quetzalward_core/placing/_loads.py
@@ -21,6 +21,13 @@
 STALL_PASSES = 6
 
 
+def smooth(slowness: float, measured: float, count: int) -> float:
+    """Return a group's slowness after `count` pauses of a mean length."""
+    weight = 1 - (1 - _GAP_WEIGHT) ** count
+    slowness += weight * (measured - slowness)
+    return min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+
+
 @attrs.define
 class GroupLoad:
     """What this node knows of one group's work."""
@@ -36,6 +43,9 @@
     # Since when this node has had work there without a pause.
     busy_ms: clock.Millis | None = None
     slowness: float = 1.0
+    # Pauses that the other nodes have not been told of.
+    pace_sum: float = 0.0
+    paces: int = 0
     # The group is silent and its members are being asked.
     doubted: bool = False
     # The coordinator has given the group up in this epoch.
@@ -100,8 +110,15 @@
     def paced(self, gap_ms: float, predicted_ms: float) -> None:
         """Note a pause between events against the predicted one."""
         ratio = gap_ms / max(1.0, predicted_ms)
-        self.slowness += _GAP_WEIGHT * (ratio - self.slowness)
-        self.slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, self.slowness))
+        self.slowness = smooth(self.slowness, ratio, 1)
+        self.pace_sum += ratio
+        self.paces += 1
+
+    def take_paces(self) -> tuple[float, int]:
+        """Return mean and number of the pauses since the last call."""
+        mean, count = self.pace_sum / max(1, self.paces), self.paces
+        self.pace_sum, self.paces = 0.0, 0
+        return mean, count
 
     def silent_ms(self, now_ms: clock.Millis) -> clock.Millis:
         """Return for how long the group has produced nothing for us."""
--- a/packages/core/tests/placing/test_placing.py
+++ b/packages/core/tests/placing/test_placing.py
@@ -209,6 +209,18 @@
         load.ended()
         self.assertFalse(load.has_stalled(50, 60_000))
 
+    def test_paces_of_all_nodes_are_one_smoothed_value(self) -> None:
+        """A slow group shows after a few pauses, whoever saw them."""
+        slowness = 1.0
+        for _ in range(5):
+            slowness = placing.smooth(slowness, 4.0, 4)
+        self.assertGreater(slowness, 3.0)
+        load = placing.GroupLoad()
+        load.paced(200, 50)
+        load.paced(100, 50)
+        self.assertEqual((3.0, 2), load.take_paces())
+        self.assertEqual(0, load.take_paces()[1])
+
     def test_later_event_clears_a_suspicion(self) -> None:
         """Another node's newer event proves the group alive."""
         load = placing.GroupLoad()
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -10,6 +10,7 @@
 from quetzalward_core import coordination
 from quetzalward_core import fleet
 from quetzalward_core import grouping
+from quetzalward_core import placing
 from quetzalward_gateway import _http
 from quetzalward_gateway import _peers
 from quetzalward_gateway import _ports
@@ -76,6 +77,7 @@
         self._term = 0
         self._phase_by_group: dict[str, tuple[int, str]] = {}
         self._orders: set[asyncio.Task[None]] = set()
+        self._slowness_by_group: dict[tuple[str, int], float] = {}
         self._sent_ms = 0
         self._fleet_ms = 0
         self._checked_ms = 0
@@ -118,6 +120,7 @@
         self._election.heard_peer(now_ms)
         if isinstance(message, coordination.Status):
             self._node_by_name[message.node] = _Node(message, sender, now_ms)
+            self._learn_pace(message)
             return
         term = coordination.Term(message.term, message.node, message.address)
         held = self.is_holder
@@ -130,6 +133,16 @@
             self._operations.relayed(message.store, echo_ms)
             self._targets.relayed(message.store, echo_ms)
 
+    def _learn_pace(self, status: coordination.Status) -> None:
+        """Take a node's measured pauses; it alone sees too few of them."""
+        for work in status.work:
+            if work.paces:
+                key = (work.group, work.epoch)
+                known = self._slowness_by_group.get(key, 1.0)
+                self._slowness_by_group[key] = placing.smooth(
+                    known, work.slowness, work.paces
+                )
+
     def _send(self, now_ms: clock.Millis) -> None:
         term = self._election.term
         state = self._runtime.state
@@ -137,6 +150,7 @@
         status = state.status(number, now_ms, self._runtime.boot_ms())
         if self.is_holder:
             own = _Node(status, self._settings.peers, now_ms)
+            self._learn_pace(status)
             self._node_by_name[self._settings.node] = own
             view = self._view(now_ms)
             state.apply_view(view, now_ms)
@@ -210,7 +224,12 @@
                 key = (work.group, work.epoch)
                 known = by_key.get(key)
                 if known is None:
-                    by_key[key] = attrs.evolve(work, event_age_ms=event_ms)
+                    by_key[key] = attrs.evolve(
+                        work,
+                        event_age_ms=event_ms,
+                        slowness=self._slowness_by_group.get(key, 1.0),
+                        paces=0,
+                    )
                     continue
                 ages = [a for a in (known.event_age_ms, event_ms) if a >= 0]
                 by_key[key] = coordination.GroupWork(
@@ -220,6 +239,7 @@
                     known.unread_tokens + work.unread_tokens,
                     min(ages) if ages else -1,
                     known.stalled or work.stalled,
+                    known.slowness,
                 )
         return list(by_key.values())
 
@@ -289,6 +309,7 @@
         self._term = number
         self._coordinator_by_service.clear()
         self._phase_by_group.clear()
+        self._slowness_by_group.clear()
         self._runtime.log.event("duty_taken", term=number)
 
     def _resign(self, reason: str) -> None:
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -133,6 +133,7 @@
                 0.0, work.unread_tokens - load.shared_unread
             )
             load.others_ms = now_ms
+            load.slowness = work.slowness
             if work.event_age_ms >= 0:
                 load.heard(now_ms - work.event_age_ms)
         for outcome in view.outcomes:
@@ -371,6 +372,7 @@
                     load.unread_tokens,
                     age,
                     load.suspected or load.doubted,
+                    *load.take_paces(),
                 )
             )
         outcomes = tuple(
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -30,7 +30,7 @@
 # Records are relayed for so long; a node that missed more reads the store.
 RELAY_MS = 1_500
 # Larger messages are lost on a full link, and the coordinator with them.
-RELAY_BYTES = 12_000
+RELAY_BYTES = 40_000
 # After an error: at once, then slower; a busy store is not pressed harder.
 FIRST_RETRY_MS = 60
 MAX_RETRY_MS = 500
