Replace a coordinator that the store turns away; repeat lost orders to stage

Orders to stage without an answer (applied_late) blocked their hosts and the weight store's places for up to 42 s. Change: nodes see the age of the coordinator's last read and take the duty when it is over 1.5 s while the store serves them; orders to stage are repeated after 1.5 s. Test: both cases fail without the change. Ruled out: too few spares; six hosts with weights stood idle.

--- a/packages/core/src/quetzalward_core/coordination/_election.py
+++ b/packages/core/src/quetzalward_core/coordination/_election.py
@@ -18,6 +18,9 @@
 WEAK_DELAY_MS = 700
 # A holder that was deposed and heard nobody is cut off from its peers.
 COOL_DOWN_MS = 4_000
+# The holder's reads wait for half a second; twice a slow answer more is a
+# store that it cannot reach.
+BLIND_MS = 1_500
 # A claimant that found a newer record gives its holder time to be heard.
 GRACE_MS = 1_200
 
@@ -44,6 +47,8 @@
     _learned_ms: clock.Millis | None = None
     _peer_ms: clock.Millis | None = None
     _rest_until_ms: clock.Millis = 0
+    # Since when the holder has been without the store.
+    _blind_ms: clock.Millis | None = None
 
     @property
     def is_holder(self) -> bool:
@@ -75,6 +80,19 @@
             return self._heard_ms is None
         return self.should_look(now_ms)
 
+    def store_age(
+        self, age_ms: clock.Millis | None, now_ms: clock.Millis
+    ) -> None:
+        """Take the age of what the holder last read from the store.
+
+        A holder that the store turns away sees no target come or go; a
+        node that the store still serves takes the duty from it.
+        """
+        if age_ms is not None and age_ms < BLIND_MS:
+            self._blind_ms = None
+        elif self._blind_ms is None:
+            self._blind_ms = now_ms
+
     def claimed(self, term: Term, now_ms: clock.Millis) -> None:
         """Note that this node's claim was accepted."""
         self._learn(term, now_ms)
@@ -86,6 +104,8 @@
             return False
         if now_ms < self._rest_until_ms:
             return False
+        if self._blind_ms is not None:
+            return now_ms - self._blind_ms >= self.stagger_ms
         if self._heard_ms is None and self._learned_ms is None:
             # Nodes that start together would all claim the first term.
             return now_ms - self.started_ms >= self.stagger_ms
@@ -111,6 +131,7 @@
         self.term = term
         self._learned_ms = now_ms
         self._heard_ms = None
+        self._blind_ms = None
         if was_holder and not self.is_holder:
             alone = (
                 self._peer_ms is None or now_ms - self._peer_ms > SILENCE_MS
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -170,6 +170,9 @@
     suspect_until_ms: clock.Millis = 0
     staging: str | None = None
     staging_ms: clock.Millis = 0
+    # Whether the order to stage was answered, and when it last went out.
+    staging_begun: bool = False
+    stage_ordered_ms: clock.Millis = 0
 
     @property
     def id(self) -> str:
@@ -213,6 +216,8 @@
 
     def note_staging(self, model: str, answer: OrderAnswer) -> None:
         """Take the answer to an order to stage."""
+        if answer is OrderAnswer.BEGUN:
+            self.staging_begun = True
         if answer is OrderAnswer.DONE:
             self.staged = (*self.staged, model)
         if answer is not OrderAnswer.BEGUN:
--- a/packages/core/src/quetzalward_core/grouping/_spares.py
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -14,6 +14,8 @@
 # Staging that has not shown up by then was lost; a load that shares the
 # weight store with others takes longer than its published time.
 STAGING_SLACK_MS = 10_000
+# An order without an answer is repeated; it may be carried out 12 s late.
+STAGE_RESEND_MS = 1_500
 # A join of a standby group that had no effect is tried again after this.
 WARM_RETRY_MS = 5_000
 
@@ -126,6 +128,7 @@
     ) -> None:
         """Order the loads that the weight store bears now."""
         running = self._running(engine, now_ms)
+        self._repeat_unanswered(now_ms, commands)
         for wish in sorted(wishes):
             if not self._loads.allows(engine, running, before_traffic, now_ms):
                 return
@@ -134,8 +137,21 @@
             host = self._roster.host_by_id[wish.target_id]
             host.staging = wish.model
             host.staging_ms = now_ms
+            host.stage_ordered_ms = now_ms
+            host.staging_begun = False
             commands.append(_model.Stage(host.id, wish.model))
 
+    def _repeat_unanswered(
+        self, now_ms: clock.Millis, commands: list[_model.Command]
+    ) -> None:
+        """Repeat orders without an answer; a late one finds nothing to do."""
+        for host in self._roster.host_by_id.values():
+            if host.staging is None or host.staging_begun:
+                continue
+            if now_ms - host.stage_ordered_ms >= STAGE_RESEND_MS:
+                host.stage_ordered_ms = now_ms
+                commands.append(_model.Stage(host.id, host.staging))
+
     def _running(self, engine: fleet.Engine, now_ms: clock.Millis) -> int:
         """Return the loads under way; forgets those that were lost."""
         running = 0
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -94,6 +94,22 @@
         node.read(store.newest(), 500)
         self.assertFalse(node.should_look(3_000))
 
+    def test_holder_without_the_store_is_replaced(self) -> None:
+        """A coordinator that the store turns away sees no target change."""
+        store = _Store()
+        first = coordination.Election("a", 0)
+        look(first, store, 0)
+        second = coordination.Election("b", 100)
+        look(second, store, 0)
+        assert first.term is not None
+        for now_ms in range(0, 3_000, 150):
+            second.heard(first.term, now_ms)
+            second.store_age(now_ms, now_ms)
+        self.assertTrue(second.should_look(2_900))
+        look(second, store, 2_900)
+        self.assertTrue(second.is_holder)
+        self.assertFalse(first.heard(second.term, 3_000) and first.is_holder)
+
     def test_random_histories_have_one_holder_of_each_term(self) -> None:
         """Terms are unique and the store's last claim decides."""
         draw = random.Random(7)
--- a/packages/core/tests/grouping/test_coordinator.py
+++ b/packages/core/tests/grouping/test_coordinator.py
@@ -104,6 +104,16 @@
         self.world.run(9_000)
         self.assertEqual([], self.world.fleet.breaches)
 
+    def test_lost_order_to_stage_is_repeated(self) -> None:
+        """A host does not wait for half a minute for an order that is lost."""
+        self.world.fleet.add("late", "d0")
+        self.world.late_share = 1.0
+        self.world.run(1_000)
+        self.world.late_share = 0.0
+        self.world.run(2_500)
+        late = self.world.fleet.target_by_id["late"]
+        self.assertIsNotNone(late.staging)
+
     def test_stale_view_takes_no_host_from_its_group(self) -> None:
         """A coordinator that has not seen a join yet does not undo it.
 
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -129,6 +129,10 @@
         if held and not self.is_holder:
             self._resign("a later term was heard")
         self._runtime.state.apply_view(message, now_ms)
+        store = message.store
+        self._election.store_age(
+            store.operations_age_ms if store else None, now_ms
+        )
         if message.store is not None:
             self._operations.relayed(message.store, echo_ms)
             self._targets.relayed(message.store, echo_ms)
