A deposed coordinator hears of its end

Change: views go to the holder before as well; a new holder has 0.8 s to read by itself before it counts as without the store.

--- a/packages/core/src/quetzalward_core/coordination/_election.py
+++ b/packages/core/src/quetzalward_core/coordination/_election.py
@@ -21,6 +21,9 @@
 # The holder's reads wait for half a second; twice a slow answer more is a
 # store that it cannot reach.
 BLIND_MS = 1_500
+# A node that has just taken the duty relied on relayed reads before; it has
+# this long to read by itself.
+BLIND_PATIENCE_MS = 800
 # A claimant that found a newer record gives its holder time to be heard.
 GRACE_MS = 1_200
 
@@ -105,7 +108,8 @@
         if now_ms < self._rest_until_ms:
             return False
         if self._blind_ms is not None:
-            return now_ms - self._blind_ms >= self.stagger_ms
+            waited_ms = now_ms - self._blind_ms
+            return waited_ms >= BLIND_PATIENCE_MS + self.stagger_ms
         if self._heard_ms is None and self._learned_ms is None:
             # Nodes that start together would all claim the first term.
             return now_ms - self.started_ms >= self.stagger_ms
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -105,6 +105,7 @@
         for now_ms in range(0, 3_000, 150):
             second.heard(first.term, now_ms)
             second.store_age(now_ms, now_ms)
+        self.assertFalse(second.should_look(2_000))
         self.assertTrue(second.should_look(2_900))
         look(second, store, 2_900)
         self.assertTrue(second.is_holder)
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -45,6 +45,11 @@
     heard_ms: clock.Millis
 
 
+def _address(text: str) -> fleet.Address:
+    host, _, port = text.rpartition(":")
+    return fleet.Address(host, int(port))
+
+
 class DutyTask:
     """Holds or follows the coordinator's duty."""
 
@@ -75,6 +80,7 @@
         self._node_by_name: dict[str, _Node] = {}
         self._coordinator_by_service: dict[str, grouping.Coordinator] = {}
         self._term = 0
+        self._predecessor: fleet.Address | None = None
         self._phase_by_group: dict[str, tuple[int, str]] = {}
         self._orders: set[asyncio.Task[None]] = set()
         self._slowness_by_group: dict[tuple[str, int], float] = {}
@@ -163,10 +169,12 @@
                 if node is not own:
                     echoed = coordination.with_echo(data, node.status.sent_ms)
                     self._socket.send(echoed, node.address)
+            if self._predecessor is not None:
+                self._socket.send(data, self._predecessor)
         elif term is not None and term.address:
-            host, _, port = term.address.rpartition(":")
-            address = fleet.Address(host, int(port))
-            self._socket.send(coordination.encode(status), address)
+            self._socket.send(
+                coordination.encode(status), _address(term.address)
+            )
 
     def _view(self, now_ms: clock.Millis) -> coordination.View:
         """Return what the coordinator tells all nodes."""
@@ -309,6 +317,12 @@
         term = coordination.Term(
             number, self._settings.node, str(self._settings.peers)
         )
+        # The holder before does not report to this node and may be without
+        # the store; a view of a later term is how it learns of its end.
+        previous = self._election.term
+        self._predecessor = None
+        if previous is not None and previous.node != self._settings.node:
+            self._predecessor = _address(previous.address)
         self._election.claimed(term, now_ms)
         self._term = number
         self._coordinator_by_service.clear()
