Stage first what serves the model that is short

Change: hosts that complete a broken group come first, then the model whose open groups serve the least of its share.

--- a/packages/core/src/quetzalward_core/grouping/_spares.py
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -22,9 +22,14 @@
 
 @attrs.frozen(order=True)
 class Wish:
-    """A host to stage; lower ranks are worth more."""
-
-    rank: int
+    """A host to stage; lower values are worth more."""
+
+    # 0: completes a broken group, 1: a new group, 2: a spare.
+    tier: int
+    # Hosts of open groups of the model, by its share of the work.
+    served: float
+    # Position among the wishes of the domain.
+    position: int
     domain: str
     target_id: str
     model: str
@@ -95,29 +100,51 @@
                     idle.append(host)
         # Hosts that hold nothing come first; a reload throws weights away.
         idle.sort(key=lambda host: (len(host.staged), host.id))
-        broken = {
-            group.model
-            for group in self._roster.in_phase(_model.Phase.BROKEN)
-            if group.domain == domain
-        }
-        names = sorted(
-            deficit,
-            key=lambda n: (
-                n not in broken,
-                engine.models_by_name[n].group_size,
-                n,
-            ),
-        )
+        missing = self._missing(domain)
+        served = self._served(engine)
+        names = sorted(deficit, key=lambda n: (n not in missing, served[n], n))
         result: list[Wish] = []
         for name in names:
-            size = engine.models_by_name[name].group_size
+            wanted = pattern.groups_by_model.get(name, 0)
+            members = wanted * engine.models_by_name[name].group_size
             while deficit[name] > 0 and idle:
                 host = idle.pop(0)
+                held = pattern.hosts_by_model[name] - deficit[name]
+                tier = 1 if held < members else 2
+                if missing.get(name, 0) > 0:
+                    missing[name] -= 1
+                    tier = 0
                 deficit[name] -= 1
-                rank = len(result) // size + (name not in broken)
-                result.append(Wish(rank, domain, host.id, name))
+                result.append(
+                    Wish(
+                        tier, served[name], len(result), domain, host.id, name
+                    )
+                )
         return result
 
+    def _missing(self, domain: str) -> dict[str, int]:
+        """Return the members that broken groups of a domain lack."""
+        counts: dict[str, int] = {}
+        for group in self._roster.in_phase(_model.Phase.BROKEN):
+            if group.domain == domain:
+                seated = [
+                    member
+                    for member in group.members
+                    if member in self._roster.host_by_id
+                ]
+                lacking = group.size - len(seated)
+                counts[group.model] = counts.get(group.model, 0) + lacking
+        return counts
+
+    def _served(self, engine: fleet.Engine) -> dict[str, float]:
+        """Return how well the open groups of each model serve its share."""
+        served = dict.fromkeys(engine.models_by_name, 0.0)
+        for group in self._roster.in_phase(_model.Phase.OPEN):
+            model = engine.models_by_name.get(group.model)
+            if model is not None:
+                served[model.name] += model.group_size / max(model.share, 0.01)
+        return served
+
     def stage(
         self,
         engine: fleet.Engine,
