Hold only cold targets to the cold rate

Change: a target known to be cold gets the cold rate; any other stays within the bound that also holds if it turns cold without warning.

--- a/packages/core/src/quetzalward_core/placing/__init__.py
+++ b/packages/core/src/quetzalward_core/placing/__init__.py
@@ -1,5 +1,6 @@
 """Where a request goes, whether it is refused, and what repeats cost."""
 
+from quetzalward_core.placing._budget import ColdLimit
 from quetzalward_core.placing._budget import ColdStartBudget
 from quetzalward_core.placing._budget import RepeatBudget
 from quetzalward_core.placing._choice import Candidate
@@ -19,6 +20,7 @@
 
 __all__ = [
     "Candidate",
+    "ColdLimit",
     "ColdStartBudget",
     "GroupLoad",
     "Load",
--- a/packages/core/src/quetzalward_core/placing/_budget.py
+++ b/packages/core/src/quetzalward_core/placing/_budget.py
@@ -50,8 +50,29 @@
                 times.popleft()
 
 
+# A target turns cold without warning; the bound for a cold target holds for
+# every target, with a tenth left for seconds that the nodes cut differently.
+SUDDEN_SHARE = 0.9
+
+
+@attrs.frozen
+class ColdLimit:
+    """What targets of a service bear in cold start, over all nodes."""
+
+    # A cold target crashes at a rate well above this.
+    per_s: float
+    # Requests in a second that are never exceeded, cold or not.
+    bound_per_s: float
+
+    def allowed_per_s(self, is_cold: bool) -> float:
+        """Return what all nodes together may send to a target."""
+        if is_cold:
+            return USED_SHARE * self.per_s
+        return SUDDEN_SHARE * self.bound_per_s
+
+
 class ColdStartBudget:
-    """Bounds requests a second to targets in cold start."""
+    """Bounds requests a second to targets that are or may turn cold."""
 
     WINDOW_MS = 1_000
 
@@ -66,15 +87,16 @@
         nodes: int,
         now_ms: clock.Millis,
     ) -> bool:
-        """Tell whether a cold target may get one more request now."""
-        if per_s <= 0:
-            return True
+        """Tell whether a target may get one more request now.
+
+        `per_s` is what all nodes together may send.
+        """
         sent = self._sent_by_target.get(target_id)
         if sent is None:
             return True
         while sent and sent[0] <= now_ms - self.WINDOW_MS:
             sent.popleft()
-        return len(sent) + 1 <= max(1.0, USED_SHARE * per_s / max(1, nodes))
+        return len(sent) + 1 <= max(1.0, per_s / max(1, nodes))
 
     def sent(self, target_id: str, now_ms: clock.Millis) -> None:
         """Count a request to a target that may be cold."""
--- a/packages/gateway/src/quetzalward_gateway/_settings.py
+++ b/packages/gateway/src/quetzalward_gateway/_settings.py
@@ -17,6 +17,10 @@
     repeat_ratio: float = 0.2
     repeat_slack: float = 50.0
     repeat_window_ms: clock.Millis = 10_000
+    # Requests that a cold target gets in a second at most: its published
+    # rate times the ratio, plus the slack.
+    cold_ratio: float = 1.0
+    cold_slack: float = 0.0
 
 
 @attrs.frozen
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -317,8 +317,14 @@
     ) -> bool:
         if service.cold_per_s <= 0:
             return True
+        bounds = self._settings.bounds
+        limit = placing.ColdLimit(
+            service.cold_per_s,
+            service.cold_per_s * bounds.cold_ratio + bounds.cold_slack,
+        )
+        is_cold = self.directory.cold_left_ms(target_id, now_ms) > 0
         return self.cold.allows(
-            target_id, service.cold_per_s, self.nodes, now_ms
+            target_id, limit.allowed_per_s(is_cold), self.nodes, now_ms
         )
 
     def repeat_budget(self, service: str) -> placing.RepeatBudget:
