--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -31,9 +31,11 @@
 RELAY_MS = 1_500
 # Larger messages are lost on a full link, and the coordinator with them.
 RELAY_BYTES = 40_000
-# After an error: at once, then slower; a busy store is not pressed harder.
+# After an error: soon, then slower; refused calls are priced too. The
+# coordinator tries oftener, and what it reads spares the others their calls.
 FIRST_RETRY_MS = 60
-MAX_RETRY_MS = 500
+HOLDER_MAX_RETRY_MS = 400
+MAX_RETRY_MS = 2_000
 
 
 class _Follower:
@@ -74,6 +76,7 @@
 
     async def _step(self) -> None:
         log = self._runtime.platform.log
+        self._runtime.metrics.count("store_reads", self._topic)
         sent_ms = self._runtime.boot_ms()
         self._called_ms = self._runtime.now_ms()
         if self._offset is None:
@@ -96,7 +99,8 @@
                 "store_lost", topic=self._topic, reason=str(error)
             )
         await asyncio.sleep(self._retry_ms / clock.MILLIS_PER_SECOND)
-        self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
+        most = HOLDER_MAX_RETRY_MS if self._is_holder() else MAX_RETRY_MS
+        self._retry_ms = min(most, 3 * self._retry_ms)
 
     def _succeeded(self) -> None:
         if self._failing_since_ms is not None:
@@ -115,8 +119,9 @@
     async def _rest(self) -> None:
         """Wait a moment, or until the coordinator reads something new."""
         self._wake.clear()
+        wait_s = RELAY_LOOK_MS / clock.MILLIS_PER_SECOND
         try:
-            async with asyncio.timeout(RELAY_LOOK_MS / 1000):
+            async with asyncio.timeout(wait_s):
                 await self._wake.wait()
         except TimeoutError:
             # Nothing new; the caller looks again.
