--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -24,8 +24,10 @@
 HOLDER_WAIT_MS = 500
 # Its reads are spaced by this part of the interval between its messages.
 HOLDER_INTERVAL_SHARE = 0.4
-# A node reads by itself if what the coordinator relays is older than this.
-RELAY_MAX_AGE_MS = 1_000
+# A node reads by itself if what the coordinator relays is older than a read
+# of the coordinator and this many intervals between messages.
+RELAY_MAX_AGE_MS = 900
+RELAY_MAX_INTERVALS = 2.5
 RELAY_LOOK_MS = 100
 # Records are relayed for so long; a node that missed more reads the store.
 RELAY_MS = 1_500
@@ -116,6 +118,11 @@
         """Tell whether the coordinator's reads make an own one needless."""
         raise NotImplementedError
 
+    def _relay_limit_ms(self) -> float:
+        """Return the age up to which relayed reads are relied on."""
+        message_ms = self._runtime.state.message_ms()
+        return RELAY_MAX_AGE_MS + RELAY_MAX_INTERVALS * message_ms
+
     async def _rest(self) -> None:
         """Wait a moment, or until the coordinator reads something new."""
         self._wake.clear()
@@ -187,7 +194,7 @@
         age_ms = self._runtime.state.freshness.age_ms(self._runtime.boot_ms())
         return (
             age_ms is not None
-            and age_ms <= RELAY_MAX_AGE_MS
+            and age_ms <= self._relay_limit_ms()
             and self._relayed_end <= self._offset
         )
 
@@ -323,7 +330,8 @@
             return False
         return (
             self._proven_ms is not None
-            and self._runtime.now_ms() - self._proven_ms <= RELAY_MAX_AGE_MS
+            and self._runtime.now_ms() - self._proven_ms
+            <= self._relay_limit_ms()
             and self._relayed_end <= self._offset
         )
 
