--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -4,14 +4,12 @@
 import json
 import zlib
 
-import attrs
-
 from quetzalward_core import clock
 from quetzalward_core import coordination
 from quetzalward_core import fleet
 from quetzalward_core import grouping
-from quetzalward_core import placing
-from quetzalward_gateway import _http
+from quetzalward_gateway import _node_reports
+from quetzalward_gateway import _orders
 from quetzalward_gateway import _peers
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
@@ -19,16 +17,10 @@
 from quetzalward_gateway import _sync
 
 TICK_MS = 50
-# A node that was silent for so long no longer counts.
-NODE_MAX_AGE_MS = 2_500
-# Work that a node reported longer ago has mostly ended.
-WORK_MAX_AGE_MS = 1_200
 # The holder looks for a later term this often.
 CHECK_TERM_MS = 1_000
 # A group counts as stalled if no node received an event for so long.
 STALL_AGE_MS = 220
-ORDER_TIMEOUT_MS = 1_200
-PROBE_TIMEOUT_MS = 250
 CLAIM_RETRY_MS = 250
 # The state of the fleet is logged this often.
 FLEET_LOG_MS = 2_000
@@ -38,13 +30,6 @@
 WEAK_LINK_MBPS = 50.0
 
 
-@attrs.define
-class _Node:
-    status: coordination.Status
-    address: fleet.Address
-    heard_ms: clock.Millis
-
-
 def _address(text: str) -> fleet.Address:
     host, _, port = text.rpartition(":")
     return fleet.Address(host, int(port))
@@ -76,14 +61,12 @@
             runtime.now_ms(),
         )
         self._socket = _peers.PeerSocket(self._received, runtime.log)
-        self._client = _http.HttpClient(runtime.now_ms)
-        self._node_by_name: dict[str, _Node] = {}
+        self._sender = _orders.OrderSender(runtime)
+        self._reports = _node_reports.NodeReports()
         self._coordinator_by_service: dict[str, grouping.Coordinator] = {}
         self._term = 0
         self._predecessor: fleet.Address | None = None
         self._phase_by_group: dict[str, tuple[int, str]] = {}
-        self._orders: set[asyncio.Task[None]] = set()
-        self._slowness_by_group: dict[tuple[str, int], float] = {}
         self._sent_ms = 0
         self._fleet_ms = 0
         self._checked_ms = 0
@@ -125,8 +108,7 @@
             return
         self._election.heard_peer(now_ms)
         if isinstance(message, coordination.Status):
-            self._node_by_name[message.node] = _Node(message, sender, now_ms)
-            self._learn_pace(message)
+            self._reports.take(message, sender, now_ms)
             return
         term = coordination.Term(message.term, message.node, message.address)
         held = self.is_holder
@@ -143,32 +125,22 @@
             self._operations.relayed(message.store, echo_ms)
             self._targets.relayed(message.store, echo_ms)
 
-    def _learn_pace(self, status: coordination.Status) -> None:
-        """Take a node's measured pauses; it alone sees too few of them."""
-        for work in status.work:
-            if work.paces:
-                key = (work.group, work.epoch)
-                known = self._slowness_by_group.get(key, 1.0)
-                self._slowness_by_group[key] = placing.smooth(
-                    known, work.slowness, work.paces
-                )
-
     def _send(self, now_ms: clock.Millis) -> None:
         term = self._election.term
         state = self._runtime.state
         number = term.number if term else 0
         status = state.status(number, now_ms, self._runtime.boot_ms())
         if self.is_holder:
-            own = _Node(status, self._settings.peers, now_ms)
-            self._learn_pace(status)
-            self._node_by_name[self._settings.node] = own
+            self._reports.take(status, self._settings.peers, now_ms)
             view = self._view(now_ms)
             state.apply_view(view, now_ms)
             data = coordination.encode(view)
-            for node in self._node_by_name.values():
-                if node is not own:
-                    echoed = coordination.with_echo(data, node.status.sent_ms)
-                    self._socket.send(echoed, node.address)
+            for name, report in self._reports.by_node.items():
+                if name != self._settings.node:
+                    echoed = coordination.with_echo(
+                        data, report.status.sent_ms
+                    )
+                    self._socket.send(echoed, report.address)
             if self._predecessor is not None:
                 self._socket.send(data, self._predecessor)
         elif term is not None and term.address:
@@ -178,9 +150,7 @@
 
     def _view(self, now_ms: clock.Millis) -> coordination.View:
         """Return what the coordinator tells all nodes."""
-        for name, node in list(self._node_by_name.items()):
-            if now_ms - node.heard_ms > NODE_MAX_AGE_MS:
-                del self._node_by_name[name]
+        self._reports.expire(now_ms)
         coordinators = self._coordinator_by_service.values()
         closing = tuple(
             (group.name, group.epoch)
@@ -194,21 +164,16 @@
             for coordinator in coordinators
             for group in coordinator.open_groups()
         )
-        outcomes: list[coordination.Outcome] = []
-        for node in self._node_by_name.values():
-            if node.status.node != self._settings.node:
-                outcomes += node.status.outcomes
-                node.status = attrs.evolve(node.status, outcomes=())
         return coordination.View(
             self._settings.node,
             self._term,
             str(self._settings.peers),
-            len(self._node_by_name),
+            len(self._reports.by_node),
             bool(coordinators) and all(c.is_settled for c in coordinators),
             groups,
             closing,
-            tuple(self._work(now_ms)),
-            tuple(outcomes),
+            tuple(self._reports.work(now_ms)),
+            self._reports.take_outcomes(self._settings.node),
             self._store_view(),
         )
 
@@ -222,39 +187,6 @@
             *operations, *targets, self._targets.recent()
         )
 
-    def _work(self, now_ms: clock.Millis) -> list[coordination.GroupWork]:
-        """Return the work of all nodes by group."""
-        by_key: dict[tuple[str, int], coordination.GroupWork] = {}
-        for node in self._node_by_name.values():
-            age_ms = now_ms - node.heard_ms
-            if age_ms > WORK_MAX_AGE_MS:
-                continue
-            for work in node.status.work:
-                event_ms = work.event_age_ms
-                if event_ms >= 0:
-                    event_ms += age_ms
-                key = (work.group, work.epoch)
-                known = by_key.get(key)
-                if known is None:
-                    by_key[key] = attrs.evolve(
-                        work,
-                        event_age_ms=event_ms,
-                        slowness=self._slowness_by_group.get(key, 1.0),
-                        paces=0,
-                    )
-                    continue
-                ages = [a for a in (known.event_age_ms, event_ms) if a >= 0]
-                by_key[key] = coordination.GroupWork(
-                    work.group,
-                    work.epoch,
-                    known.active + work.active,
-                    known.unread_tokens + work.unread_tokens,
-                    min(ages) if ages else -1,
-                    known.stalled or work.stalled,
-                    known.slowness,
-                )
-        return list(by_key.values())
-
     # The duty.
 
     def _follow_term(self, now_ms: clock.Millis) -> None:
@@ -327,22 +259,21 @@
         self._term = number
         self._coordinator_by_service.clear()
         self._phase_by_group.clear()
-        self._slowness_by_group.clear()
+        self._reports.clear()
         self._runtime.log.event("duty_taken", term=number)
 
     def _resign(self, reason: str) -> None:
         self._runtime.log.event("duty_lost", term=self._term, reason=reason)
         self._coordinator_by_service.clear()
-        self._node_by_name.clear()
-        for task in self._orders:
-            task.cancel()
+        self._reports.clear()
+        self._sender.cancel()
 
     def _coordinate(self, now_ms: clock.Millis) -> None:
         """Run the coordinators of all services with engines."""
         configuration = self._runtime.state.configuration
         if configuration is None:
             return
-        works = self._work(now_ms)
+        works = self._reports.work(now_ms)
         producing = frozenset(
             (work.group, work.epoch)
             for work in works
@@ -354,37 +285,26 @@
             if work.stalled
             and (work.event_age_ms < 0 or work.event_age_ms >= STALL_AGE_MS)
         ]
-        suspects: set[str] = set()
-        requests = 0
-        for node in self._node_by_name.values():
-            suspects.update(node.status.suspects)
-            requests += node.status.requests
+        suspects = self._reports.suspects()
         for service in configuration.service_by_name.values():
             if service.engine is None:
                 continue
             coordinator = self._coordinator(service.name, now_ms)
             coordinator.configure(service.engine)
             coordinator.producing(producing)
-            if requests:
+            if self._reports.has_requests():
                 coordinator.requested()
-            commands = self._observe(service.name, coordinator, now_ms)
+            self._observe(service.name, coordinator, now_ms)
+            commands: list[grouping.Command] = []
             for work in stalled:
                 commands += coordinator.stalled(work.group, work.epoch, now_ms)
             for target_id in suspects & coordinator.host_by_id.keys():
                 commands += coordinator.doubt(target_id, now_ms)
             commands += coordinator.tick(now_ms)
             self._log_phases(coordinator)
-            if now_ms - self._fleet_ms >= FLEET_LOG_MS:
-                self._fleet_ms = now_ms
-                self._runtime.log.event(
-                    "fleet",
-                    service=service.name,
-                    open=len(coordinator.open_groups()),
-                    groups=len(coordinator.group_by_name),
-                    spares=coordinator.spares_by_domain(),
-                )
+            self._log_fleet(service.name, coordinator, now_ms)
             for command in commands:
-                self._start(coordinator, command)
+                self._sender.start(coordinator, command)
 
     def _coordinator(
         self, service: str, now_ms: clock.Millis
@@ -405,14 +325,30 @@
         service: str,
         coordinator: grouping.Coordinator,
         now_ms: clock.Millis,
-    ) -> list[grouping.Command]:
+    ) -> None:
         present = set()
         for target in self._runtime.state.directory.of_service(service):
             present.add(target.id)
             coordinator.observe(target, now_ms)
         for target_id in coordinator.host_by_id.keys() - present:
             coordinator.lose(target_id)
-        return []
+
+    def _log_fleet(
+        self,
+        service: str,
+        coordinator: grouping.Coordinator,
+        now_ms: clock.Millis,
+    ) -> None:
+        if now_ms - self._fleet_ms < FLEET_LOG_MS:
+            return
+        self._fleet_ms = now_ms
+        self._runtime.log.event(
+            "fleet",
+            service=service,
+            open=len(coordinator.open_groups()),
+            groups=len(coordinator.group_by_name),
+            spares=coordinator.spares_by_domain(),
+        )
 
     def _log_phases(self, coordinator: grouping.Coordinator) -> None:
         """Log each group that changed its phase or epoch."""
@@ -429,77 +365,3 @@
                 domain=group.domain,
                 members=list(group.members),
             )
-
-    def _start(
-        self, coordinator: grouping.Coordinator, command: grouping.Command
-    ) -> None:
-        if isinstance(command, grouping.Probe):
-            work = self._probe(coordinator, command)
-        else:
-            work = self._order(coordinator, command)
-        task = asyncio.get_running_loop().create_task(work)
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
-
-    async def _probe(
-        self, coordinator: grouping.Coordinator, command: grouping.Probe
-    ) -> None:
-        runtime = self._runtime
-        target = runtime.state.directory.get(command.target_id)
-        if target is None:
-            return
-        method, path = runtime.platform.report_call()
-        runtime.metrics.count("reports")
-        report = None
-        try:
-            answer = await self._client.call(
-                target.address,
-                method,
-                path,
-                [],
-                b"",
-                PROBE_TIMEOUT_MS,
-                reuse=False,
-            )
-            report = runtime.platform.decode_report(answer)
-        except _http.CallFailed as error:
-            runtime.log.event(
-                "report_missing", target=target.id, reason=str(error)
-            )
-        coordinator.reported(target.id, report, runtime.now_ms())
-
-    async def _order(
-        self, coordinator: grouping.Coordinator, order: grouping.Order
-    ) -> None:
-        runtime = self._runtime
-        target = runtime.state.directory.get(order.target_id)
-        if target is None or not self.is_holder:
-            return
-        method, path, body = runtime.platform.order_call(order)
-        headers = [(b"content-type", b"application/json")]
-        runtime.metrics.count("orders", type(order).__name__)
-        reason = ""
-        try:
-            answer = await self._client.call(
-                target.address,
-                method,
-                path,
-                headers,
-                body,
-                ORDER_TIMEOUT_MS,
-                reuse=False,
-            )
-            result = runtime.platform.decode_order_answer(answer.status)
-        except _http.CallFailed as error:
-            result = grouping.OrderAnswer.UNREACHABLE
-            if error.sent:
-                result = grouping.OrderAnswer.UNANSWERED
-            reason = str(error)
-        runtime.log.event(
-            "order",
-            order=type(order).__name__,
-            result=result.value,
-            reason=reason,
-            **attrs.asdict(order),
-        )
-        coordinator.answered(order, result, runtime.now_ms())
--- a/packages/gateway/src/quetzalward_gateway/_exchange.py
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -3,6 +3,7 @@
 import traceback
 
 from quetzalward_core import errors
+from quetzalward_core import fleet
 from quetzalward_gateway import _plain
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
@@ -11,6 +12,8 @@
 
 # Deadline of a request that names none.
 DEFAULT_DEADLINE_MS = 30_000
+# Another node, or this one a moment later, can serve the caller.
+ISOLATED_RETRY_MS = 500
 
 
 async def handle(
@@ -60,7 +63,9 @@
     configuration = state.configuration
     if configuration is None or not state.directory.complete:
         return _runtime.Refused(
-            errors.ErrorKind.NODE_ISOLATED, "no configuration yet", 500
+            errors.ErrorKind.NODE_ISOLATED,
+            "no configuration yet",
+            ISOLATED_RETRY_MS,
         )
     route = state.find_route(request.host, request.path)
     fresh = state.freshness.is_ready(runtime.boot_ms())
@@ -69,32 +74,18 @@
             return _runtime.Refused(
                 errors.ErrorKind.NODE_ISOLATED,
                 "no route, and the configuration may be outdated",
-                500,
+                ISOLATED_RETRY_MS,
             )
         return _runtime.Refused(errors.ErrorKind.NOT_FOUND, "no route")
-    customer = None
-    if configuration.customer_by_key and not route.anonymous:
-        if not state.freshness.may_serve_keys(runtime.boot_ms()):
-            return _runtime.Refused(
-                errors.ErrorKind.NODE_ISOLATED,
-                "the configuration is too old to trust API keys",
-                500,
-            )
-        customer = configuration.customer_by_key.get(request.api_key or "")
-        if customer is None:
-            if not fresh:
-                return _runtime.Refused(
-                    errors.ErrorKind.NODE_ISOLATED,
-                    "unknown key, and the configuration may be outdated",
-                    500,
-                )
-            return _runtime.Refused(
-                errors.ErrorKind.UNAUTHENTICATED, "unknown API key"
-            )
+    customer = _check_key(runtime, configuration, route, request)
+    if isinstance(customer, _runtime.Refused):
+        return customer
     service = state.pick_service(route)
     if service is None:
         return _runtime.Refused(
-            errors.ErrorKind.NO_TARGET, "the route has no service", 1000
+            errors.ErrorKind.NO_TARGET,
+            "the route has no service",
+            ISOLATED_RETRY_MS,
         )
     wait_ms = request.deadline_ms
     if wait_ms is None:
@@ -110,3 +101,33 @@
         customer,
         raw.received_ms + wait_ms,
     )
+
+
+def _check_key(
+    runtime: _runtime.Runtime,
+    configuration: fleet.Configuration,
+    route: fleet.Route,
+    request: _ports.CallerRequest,
+) -> fleet.Customer | None | _runtime.Refused:
+    """Return the customer of a request's key, `None` if it needs none."""
+    if not configuration.customer_by_key or route.anonymous:
+        return None
+    freshness = runtime.state.freshness
+    if not freshness.may_serve_keys(runtime.boot_ms()):
+        return _runtime.Refused(
+            errors.ErrorKind.NODE_ISOLATED,
+            "the configuration is too old to trust API keys",
+            ISOLATED_RETRY_MS,
+        )
+    customer = configuration.customer_by_key.get(request.api_key or "")
+    if customer is not None:
+        return customer
+    if not freshness.is_ready(runtime.boot_ms()):
+        return _runtime.Refused(
+            errors.ErrorKind.NODE_ISOLATED,
+            "unknown key, and the configuration may be outdated",
+            ISOLATED_RETRY_MS,
+        )
+    return _runtime.Refused(
+        errors.ErrorKind.UNAUTHENTICATED, "unknown API key"
+    )
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -1,50 +1,27 @@
 """Requests to plain services: answered whole, repeated where allowed."""
 
-import enum
-
 import attrs
 
 from quetzalward_core import clock
 from quetzalward_core import errors
 from quetzalward_core import fleet
+from quetzalward_gateway import _attempts
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _http
-from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
 
-# Within a region a connection is made in a few milliseconds; a lost packet
-# costs more than trying the next target.
-CONNECT_TIMEOUT_MS = 300
 # Sends that end without running do not count as attempts; so many are made.
 MAX_UNRUN_SENDS = 3
 # A repeatable request moves to another target after this multiple of the
 # target's usual latency without an answer.
 SLOW_FACTOR = 5.0
 MIN_SLOW_MS = 250.0
-# The target's own answer at its deadline takes a moment to arrive.
-DEADLINE_GRACE_MS = 60
 # Less time than this is no use to a target.
 MIN_LEFT_MS = 5
 RETRY_AFTER_MS = 300
 
-
-class _Result(enum.Enum):
-    ANSWERED = "answered"
-    # The target proved that it did not run the request.
-    NOT_RUN = "not_run"
-    UNREACHABLE = "unreachable"
-    # It may have run.
-    BROKEN = "broken"
-    SLOW = "slow"
-
-
-@attrs.frozen
-class _Attempt:
-    result: _Result
-    reason: str = ""
-    head: _ports.TargetAnswer | None = None
-    body: bytes = b""
-    target_id: str = ""
+_Attempt = _attempts.Attempt
+_Result = _attempts.Result
 
 
 async def run(call: _runtime.Call) -> None:
@@ -131,7 +108,7 @@
     started_ms = runtime.now_ms()
     try:
         channel = await _channel.connect(
-            target.address, min(CONNECT_TIMEOUT_MS, call.left_ms())
+            target.address, min(_attempts.CONNECT_TIMEOUT_MS, call.left_ms())
         )
     except (_channel.ChannelReset, _channel.ChannelTimeout) as error:
         outcomes.unreachable(target.id, runtime.now_ms())
@@ -193,29 +170,16 @@
         return _Attempt(_Result.SLOW, "no answer within the deadline")
     except (_channel.ChannelReset, _http.ProtocolBroken) as error:
         return _Attempt(_Result.BROKEN, f"the answer broke off: {error}")
-    return _judge(request, answer, b"".join(parts))
-
-
-def _judge(
-    request: _ports.CallerRequest,
-    answer: _ports.TargetAnswer,
-    body: bytes,
-) -> _Attempt:
-    """Tell whether a complete answer may be passed on."""
-    if answer.attempt_id not in (None, request.attempt_id):
-        return _Attempt(_Result.BROKEN, "the answer to another request")
-    if answer.not_executed or answer.status == 421:
-        return _Attempt(_Result.NOT_RUN, f"refused with {answer.status}")
-    if not answer.sealed or answer.encoded:
-        return _Attempt(_Result.BROKEN, "an answer that proves no origin")
-    return _Attempt(_Result.ANSWERED, "", answer, body)
+    return _attempts.check_head(request, answer) or _Attempt(
+        _Result.ANSWERED, "", answer, b"".join(parts)
+    )
 
 
 def _patience(
     call: _runtime.Call, target: fleet.Target, ran: int
 ) -> clock.Millis:
     """Return until when to wait for a target's answer."""
-    last_ms = call.until_ms + DEADLINE_GRACE_MS
+    last_ms = call.until_ms + _attempts.DEADLINE_GRACE_MS
     if not call.route.repeatable or ran + 1 >= call.route.max_attempts:
         return last_ms
     usual = call.runtime.state.outcomes.latency_ms(target.id)
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -231,31 +231,19 @@
             model = engine.models_by_name.get(request.model)
         if engine is None or model is None or prompt is None:
             return placing.Refusal("unknown model", placing.MIN_RETRY_AFTER_MS)
-        sites = self.open_groups(service.name, model.name, now_ms)
         sites = [
-            s for s in sites if self._takes_work(service, s, tried, now_ms)
+            site
+            for site in self.open_groups(service.name, model.name, now_ms)
+            if self._takes_work(service, site, tried, now_ms)
         ]
         # A doubtful group is better than none.
         sure = [s for s in sites if not self.load_of(s.key).doubted]
-        site_by_group: dict[str, GroupSite] = {}
-        candidates = []
-        for site in sure or sites:
-            load = self.load_of(site.key)
-            site_by_group[site.entry.name] = site
-            away = site.head.zone != self._settings.zone
-            candidates.append(
-                placing.Candidate(
-                    site.entry.name,
-                    load.load(now_ms),
-                    load.slowness,
-                    ZONE_DISTANCE_MS if away else 0.0,
-                )
-            )
+        site_by_group = {site.entry.name: site for site in sure or sites}
         choice = placing.choose_group(
             engine,
             model,
             prompt,
-            candidates,
+            [self._candidate(s, now_ms) for s in site_by_group.values()],
             left_ms,
             self._draw,
             self.message_ms() if self.nodes > 1 else 0.0,
@@ -274,6 +262,18 @@
             model,
         )
 
+    def _candidate(
+        self, site: GroupSite, now_ms: clock.Millis
+    ) -> placing.Candidate:
+        load = self.load_of(site.key)
+        away = site.head.zone != self._settings.zone
+        return placing.Candidate(
+            site.entry.name,
+            load.load(now_ms),
+            load.slowness,
+            ZONE_DISTANCE_MS if away else 0.0,
+        )
+
     def _takes_work(
         self,
         service: fleet.Service,
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import enum
 import typing
 
 import attrs
@@ -10,6 +9,7 @@
 from quetzalward_core import clock
 from quetzalward_core import errors
 from quetzalward_core import placing
+from quetzalward_gateway import _attempts
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _events
 from quetzalward_gateway import _http
@@ -17,7 +17,6 @@
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _state
 
-CONNECT_TIMEOUT_MS = 300
 # A waiting stream looks this often whether its group still produces.
 LOOK_MS = 80
 # A resumed stream without a place looks for one this often.
@@ -31,32 +30,11 @@
 # route's bound on attempts only once.
 MAX_LOST_SENDS = 2
 MIN_LEFT_MS = 20
-# The target's own answer at its deadline takes a moment to arrive.
-DEADLINE_GRACE_MS = 60
 UNKNOWN_RETRY_AFTER_MS = 400
 
 _Part = typing.TypeVar("_Part")
-
-
-class _Result(enum.Enum):
-    COMPLETE = "complete"
-    # The target's own failure, passed on as it is.
-    FAILED = "failed"
-    NOT_RUN = "not_run"
-    UNREACHABLE = "unreachable"
-    BROKEN = "broken"
-    STALLED = "stalled"
-    TIMEOUT = "timeout"
-    # The events of the runs do not follow each other.
-    GAP = "gap"
-
-
-@attrs.frozen
-class _Attempt:
-    result: _Result
-    reason: str = ""
-    head: _ports.TargetAnswer | None = None
-    body: bytes = b""
+_Attempt = _attempts.Attempt
+_Result = _attempts.Result
 
 
 def _is_event_stream(head: _http.Head) -> bool:
@@ -266,7 +244,8 @@
         head = place.site.head
         try:
             channel = await _channel.connect(
-                head.address, min(CONNECT_TIMEOUT_MS, self._call.left_ms())
+                head.address,
+                min(_attempts.CONNECT_TIMEOUT_MS, self._call.left_ms()),
             )
         except (_channel.ChannelReset, _channel.ChannelTimeout) as error:
             load.suspect(runtime.now_ms())
@@ -314,7 +293,7 @@
             if isinstance(head, _Attempt):
                 return head
             answer = call.runtime.platform.decode_answer(head)
-            bad = self._check_head(answer)
+            bad = _attempts.check_head(call.request, answer)
             if bad is not None:
                 return bad
             if answer.status >= 300 or not _is_event_stream(head):
@@ -325,17 +304,6 @@
         except _events.EventGap as error:
             return _Attempt(_Result.GAP, str(error))
 
-    def _check_head(self, answer: _ports.TargetAnswer) -> _Attempt | None:
-        if answer.attempt_id not in (None, self._call.request.attempt_id):
-            return _Attempt(_Result.BROKEN, "the answer to another request")
-        if answer.not_executed or answer.status == 421:
-            return _Attempt(
-                _Result.NOT_RUN, f"refused with {answer.status}", answer
-            )
-        if not answer.sealed or answer.encoded:
-            return _Attempt(_Result.BROKEN, "an answer that proves no origin")
-        return None
-
     async def _whole(
         self,
         http: _http.ClientCall,
@@ -434,7 +402,7 @@
             place.engine, place.model, place.engine.slots
         )
         while True:
-            left_ms = call.left_ms() + DEADLINE_GRACE_MS
+            left_ms = call.left_ms() + _attempts.DEADLINE_GRACE_MS
             if left_ms <= 0:
                 return _Attempt(_Result.TIMEOUT, "the deadline passed")
             try:
