Say where each limit comes from; remove what nothing uses

Cause: read-through before the landing. Change: comments on constants without a reason; an enum, a constant and a property that nothing used.

--- a/packages/core/src/quetzalward_core/grouping/_loads.py
+++ b/packages/core/src/quetzalward_core/grouping/_loads.py
@@ -7,6 +7,7 @@
 from quetzalward_core import clock
 from quetzalward_core import fleet
 
+# The window in which deployments bound the loads that begin.
 WINDOW_MS = 5_000
 # Part of the allowed rate that one coordinator uses: orders without an
 # answer begin late, and a successor starts with a full allowance.
--- a/packages/core/src/quetzalward_core/placing/_cost.py
+++ b/packages/core/src/quetzalward_core/placing/_cost.py
@@ -14,15 +14,6 @@
 
     prompt_tokens: int
     max_output_tokens: int
-    # The caller's own estimate; right at the median, often far off.
-    output_hint: int | None = None
-
-    @property
-    def expected_output(self) -> int:
-        """Return the output tokens to plan with."""
-        if self.output_hint is not None:
-            return min(self.output_hint, self.max_output_tokens)
-        return self.max_output_tokens
 
 
 @attrs.frozen
--- a/packages/core/src/quetzalward_core/placing/_loads.py
+++ b/packages/core/src/quetzalward_core/placing/_loads.py
@@ -8,7 +8,10 @@
 # Shares of others older than this no longer count in full: their answers
 # have mostly ended.
 SHARED_MAX_AGE_MS = 1_500
+# About ten pauses, half a second of one stream, change the measured pace.
 _GAP_WEIGHT = 0.1
+# A group is never much faster than published; a slower one than this does
+# not differ from one that has stalled.
 MIN_SLOWNESS = 0.8
 MAX_SLOWNESS = 20.0
 # A group that produced nothing for this long with work in hand has stalled;
--- a/packages/core/src/quetzalward_core/placing/_outcomes.py
+++ b/packages/core/src/quetzalward_core/placing/_outcomes.py
@@ -15,6 +15,7 @@
 FAILURE_COST_MS = 1_500.0
 # Evidence halves in this time, so that a target that recovered is tried.
 HALF_LIFE_MS = 4_000
+# Assumed until a target has answered; the published work is 20 to 90 ms.
 START_LATENCY_MS = 60.0
 # A target that could not be reached is left out for this long.
 UNREACHABLE_MS = 1_500
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -22,6 +22,7 @@
 UNLISTED_MS = 3_200
 # Time before the kill within which the last answers are broken off.
 EXIT_MARGIN_MS = 500
+# How often a stopping node looks whether its requests have ended.
 _LOOK_S = 0.05
 
 
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -16,11 +16,13 @@
 from quetzalward_gateway import _settings
 from quetzalward_gateway import _sync
 
+# Half of the shortest step of a group, a join of 0.2 s, twice over.
 TICK_MS = 50
 # The holder looks for a later term this often.
 CHECK_TERM_MS = 1_000
 # A group counts as stalled if no node received an event for so long.
 STALL_AGE_MS = 220
+# A failed look at the store is repeated after this.
 CLAIM_RETRY_MS = 250
 # The state of the fleet is logged this often.
 FLEET_LOG_MS = 2_000
--- a/packages/gateway/src/quetzalward_gateway/_http.py
+++ b/packages/gateway/src/quetzalward_gateway/_http.py
@@ -11,6 +11,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Heads of targets and of the store stay far below.
 MAX_HEAD_BYTES = 65_536
 
 
--- a/packages/gateway/src/quetzalward_gateway/_metrics.py
+++ b/packages/gateway/src/quetzalward_gateway/_metrics.py
@@ -6,6 +6,7 @@
 
 # Ten minutes; no request lasts longer.
 MAX_LATENCY_MS = 600_000
+# Significant digits of a recorded latency.
 _DIGITS = 2
 _QUANTILES = (50.0, 95.0, 99.0)
 
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -15,9 +15,11 @@
 # A repeatable request moves to another target after this multiple of the
 # target's usual latency without an answer.
 SLOW_FACTOR = 5.0
+# Below this a slow target is not told from an ordinary long answer.
 MIN_SLOW_MS = 250.0
 # Less time than this is no use to a target.
 MIN_LEFT_MS = 5
+# Time in which most targets of a plain service have free places again.
 RETRY_AFTER_MS = 300
 
 _Attempt = _attempts.Attempt
--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import enum
 import typing
 
 import attrs
@@ -13,8 +12,6 @@
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _http
 
-# The closing handshake waits this long for the caller to take the answer.
-LINGER_MS = 1_000
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -29,13 +26,6 @@
 }
 
 
-class Closing(enum.Enum):
-    """What becomes of a caller's connection after an answer."""
-
-    KEEP = "keep"
-    CLOSE = "close"
-
-
 @attrs.frozen
 class RawRequest:
     """A request as it was read from a connection."""
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -26,10 +26,12 @@
 MAX_RESUME_WAIT_MS = 1_800
 # Sends that ended without running do not count as attempts.
 MAX_UNRUN_SENDS = 2
-# Sends that stalled or broke because members were lost are beyond the
-# route's bound on attempts only once.
+# A run that stalled or broke because a member was lost may be followed by
+# another one even where the route allows a single attempt.
 MAX_LOST_SENDS = 2
+# Less time than this is no use to a group.
 MIN_LEFT_MS = 20
+# Time in which a broken group is usually formed anew.
 UNKNOWN_RETRY_AFTER_MS = 400
 
 _Part = typing.TypeVar("_Part")
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -28,6 +28,7 @@
 # of the coordinator and this many intervals between messages.
 RELAY_MAX_AGE_MS = 900
 RELAY_MAX_INTERVALS = 2.5
+# A node looks this often whether the relay has grown too old.
 RELAY_LOOK_MS = 100
 # Records are relayed for so long; a node that missed more reads the store.
 RELAY_MS = 1_500
