Tell the other nodes of a target that may have turned cold

Change: a broken attempt, a refusal as cold or a late first token is told to the other nodes by a message of its own (DoubtTarget). They send nothing more there before a newer report. At most one message a target in 500 ms; 8 nodes are told directly, larger fleets pass it on. Sends wait for no answer. A target that turns cold while no request is there still gives no evidence before the next poll. Ruled out: denser polls (cost grows with nodes and targets); evidence in the digests, which travel once a second.

--- a/packages/bench/src/quetzalward_bench/capacity.py
+++ b/packages/bench/src/quetzalward_bench/capacity.py
@@ -136,7 +136,13 @@
     )
     time_source = clock.SystemClock()
     task = dispatch.DispatchTask(
-        "n", "z0", _Control(view), _NoDemand(), time_source, random.Random(1)
+        "n",
+        "z0",
+        _Control(view),
+        _NoDemand(),
+        time_source,
+        random.Random(1),
+        lambda target_id: None,
     )
     task.start()
     task.publish_targets(_targets_view(groups, time_source.now_ms()), ())
--- a/packages/node/src/quetzalward_node/_wiring.py
+++ b/packages/node/src/quetzalward_node/_wiring.py
@@ -117,7 +117,9 @@
             self._adapter,
             self._clock,
             random.Random(),
+            self._peers.announce_doubt,
         )
+        self._peers.on_doubted(self._dispatch.doubt_target)
         self._targets = targets.TargetsTask(
             self._settings.name,
             self._settings.zone,
--- a/packages/node/src/quetzalward_node/dispatch/_messages.py
+++ b/packages/node/src/quetzalward_node/dispatch/_messages.py
@@ -113,6 +113,13 @@
     events: tuple[interfaces.CacheEvent, ...]
 
 
+@attrs.frozen
+class TargetDoubted:
+    """Another node has evidence that a target may have turned cold."""
+
+    target_id: str
+
+
 @attrs.frozen
 class StopAdmission:
     """The node is stopping and takes no new work."""
@@ -133,6 +140,7 @@
     | ReleaseService
     | HedgeAfter
     | TargetsRead
+    | TargetDoubted
     | StopAdmission
     | StopTask
 )
--- a/packages/node/src/quetzalward_node/dispatch/_pool.py
+++ b/packages/node/src/quetzalward_node/dispatch/_pool.py
@@ -37,6 +37,7 @@
         self._applied = False
         self._view = interfaces.TargetsView()
         self._targets: dict[str, _records.Target] = {}
+        self._doubts: set[str] = set()
         self._models: dict[str, _records.Model] = {}
         self._presence_by_target: dict[str, _records.KnownPresence] = {}
         settings = control.configuration
@@ -375,6 +376,7 @@
             # A target whose answers break may have turned cold; work as to a
             # warm one would overload it, so a newer report must come first.
             target.unproved_since_ms = now_ms
+            self._doubts.add(target_id)
             ejector.failed(target_id)
         elif result is interfaces.AttemptResult.OK:
             ejector.succeeded(target_id)
@@ -405,7 +407,23 @@
         change_ms = first_ms - measured.first_token_ms
         measured.first_token_ms += _SMOOTHING * change_ms
 
+    def doubt(self, target_id: str, now_ms: clock.Millis) -> None:
+        """Send nothing more to a target before a newer report of it.
+
+        Only the nodes with an attempt of their own there see it turn cold;
+        the others would send it work as to a warm one until their next poll.
+        """
+        if target_id in self._control.groups:
+            self._target(target_id).unproved_since_ms = now_ms
+
+    def take_doubts(self) -> frozenset[str]:
+        """Return targets that turned doubtful by this node's evidence."""
+        doubts = frozenset(self._doubts)
+        self._doubts.clear()
+        return doubts
+
     def _note_cold(self, target_id: str, now_ms: clock.Millis) -> None:
+        self._doubts.add(target_id)
         self._slots.note_cold(target_id, now_ms)
         target = self._target(target_id)
         target.was_cold = True
--- a/packages/node/src/quetzalward_node/dispatch/_task.py
+++ b/packages/node/src/quetzalward_node/dispatch/_task.py
@@ -40,9 +40,15 @@
         demands: interfaces.DemandExchange,
         time_source: clock.Clock,
         rng: random.Random,
+        announce_doubt: typing.Callable[[str], None],
     ) -> None:
-        """Create the task; `start` runs its thread."""
+        """Create the task; `start` runs its thread.
+
+        `announce_doubt` tells the other nodes of a doubted target and must
+        not block.
+        """
         self._clock = time_source
+        self._announce_doubt = announce_doubt
         self._demands = demands
         now_ms = time_source.now_ms()
         self._state = _state.DispatchState(node, zone, control, rng, now_ms)
@@ -137,6 +143,10 @@
         """Take a new view, as `TargetsSink`."""
         self._mailbox.put(_messages.TargetsRead(view, events))
 
+    def doubt_target(self, target_id: str) -> None:
+        """Hold back work for a target until a newer report of it."""
+        self._mailbox.put(_messages.TargetDoubted(target_id))
+
     def _run(self) -> None:
         """Handle messages until stopped."""
         while not self._stopped:
@@ -199,6 +209,8 @@
                 self._state.withdraw(message.ticket)
             case _messages.Release():
                 self._state.release(message.grant, message.report, now_ms)
+                for target_id in self._state.pool.take_doubts():
+                    self._announce_doubt(target_id)
             case _messages.Finish():
                 self._state.finish(message.request_id)
             case _messages.MayRetry():
@@ -217,6 +229,8 @@
                 self._state.pool.apply_targets(
                     message.view, message.events, now_ms
                 )
+            case _messages.TargetDoubted():
+                self._state.pool.doubt(message.target_id, now_ms)
             case _messages.StopAdmission():
                 self._state.stop()
             case _messages.StopTask():
--- a/packages/node/src/quetzalward_node/peers/_channels.py
+++ b/packages/node/src/quetzalward_node/peers/_channels.py
@@ -3,6 +3,7 @@
 import collections
 import os
 import threading
+import typing
 
 import attrs
 import grpc
@@ -117,6 +118,41 @@
             raise CallError(f"{peer.name}: answer is not authentic")
         return bytes(answer)
 
+    def send(
+        self,
+        peer: Peer,
+        method: str,
+        body: bytes,
+        timeout_ms: clocks.Millis,
+        failed: typing.Callable[[str], None],
+    ) -> None:
+        """Start a call whose answer carries nothing; does not wait.
+
+        `failed` is called with the reason if the peer did not take it.
+        """
+        nonce = _auth.new_nonce()
+        sent = self._auth.request_metadata(method, peer.name, nonce, body)
+        try:
+            stub = self._channel(peer.address).unary_unary(
+                method_path(method), _unchanged, _unchanged
+            )
+            call = stub.future(
+                body,
+                timeout=timeout_ms / clocks.MILLIS_PER_SECOND,
+                metadata=sent,
+            )
+        except (OSError, ValueError, grpc.RpcError) as error:
+            failed(f"{peer.name}: {error}")
+            return
+
+        def check(done: grpc.Future) -> None:
+            if done.cancelled():
+                failed(f"{peer.name}: the channel was closed")
+            elif done.exception() is not None:
+                failed(f"{peer.name}: {done.exception()}")
+
+        call.add_done_callback(check)
+
     def _channel(self, address: str) -> grpc.Channel:
         """Return an open channel, made with the present key files."""
         changed = keys_changed(self._tls)
--- a/packages/node/src/quetzalward_node/peers/_task.py
+++ b/packages/node/src/quetzalward_node/peers/_task.py
@@ -23,6 +23,14 @@
 ROUND_MS = 1_000
 ASK_TIMEOUT_MS = 1_000
 STOP_TIMEOUT_MS = 2_000
+# A doubt that arrives later than the next poll of the target is of no use.
+DOUBT_TIMEOUT_MS = 1_000
+# One doubt holds until the target's next report; polls are no denser.
+DOUBT_GAP_MS = 500
+# Nodes told directly. A larger fleet passes doubts on: 8 a node reach all of
+# 380 nodes in three steps but for one in 3,000, and stay far below the number
+# of open channels.
+DOUBT_FANOUT = 8
 _GRACE_S = 1.0
 
 DemandSource = typing.Callable[[], typing.Mapping[str, membership.Demand]]
@@ -61,6 +69,7 @@
         self._clock = clock
         self._desk = desk
         self._demand = demand
+        self._rng = rng or random.Random()
         auth = _auth.Authenticator(name, secret)
         self._channels = _channels.Channels(auth, tls)
         self._server = _server.PeerServer(
@@ -70,6 +79,7 @@
                 "Exchange": self._on_exchange,
                 "AskCall": self._on_ask,
                 "StopOrder": self._on_stop,
+                "DoubtTarget": self._on_doubt,
             },
         )
         self.knowledge = _knowledge.SharedMembership(
@@ -77,8 +87,11 @@
             log,
             clock,
             serve_without_log,
-            rng or random.Random(),
+            self._rng,
         )
+        self._doubt_lock = threading.Lock()
+        self._doubted_ms_by_target: dict[str, clocks.Millis] = {}
+        self._on_doubted: typing.Callable[[str], None] | None = None
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="peers", daemon=True
@@ -113,6 +126,49 @@
             return False
         return bool(peer_pb2.StopOrderResponse.FromString(answer).in_force)
 
+    def on_doubted(self, listener: typing.Callable[[str], None]) -> None:
+        """Call a listener with each target that another node doubts."""
+        self._on_doubted = listener
+
+    def announce_doubt(self, target: str) -> None:
+        """Tell other nodes that a target may have turned cold.
+
+        Starts calls without waiting for them. A lost one leaves a node with
+        its own polls of the target.
+        """
+        if self._is_new_doubt(target):
+            self._send_doubt(target)
+
+    def _is_new_doubt(self, target: str) -> bool:
+        """Note a doubt; false for one told or heard a moment ago."""
+        now_ms = self._clock.now_ms()
+        with self._doubt_lock:
+            since_ms = self._doubted_ms_by_target.get(target)
+            if since_ms is not None and now_ms - since_ms < DOUBT_GAP_MS:
+                return False
+            for known, told_ms in list(self._doubted_ms_by_target.items()):
+                if now_ms - told_ms >= DOUBT_GAP_MS:
+                    del self._doubted_ms_by_target[known]
+            self._doubted_ms_by_target[target] = now_ms
+            return True
+
+    def _send_doubt(self, target: str) -> None:
+        others = [
+            _channels.Peer(node.name, node.peers)
+            for node in self._log.state().nodes_by_name.values()
+            if node.name != self.name
+        ]
+        if len(others) > DOUBT_FANOUT:
+            others = self._rng.sample(others, DOUBT_FANOUT)
+        body = peer_pb2.TargetDoubt(target=target).SerializeToString()
+        for peer in others:
+            self._channels.send(
+                peer, "DoubtTarget", body, DOUBT_TIMEOUT_MS, self._doubt_lost
+            )
+
+    def _doubt_lost(self, reason: str) -> None:
+        _LOG.debug("DoubtTarget: {}", reason)
+
     def ask(self, node: str, intent_id: str) -> interfaces.DispatcherAnswer:
         """Ask the dispatcher of an intent; see `DispatcherQuery`."""
         name, nonce = agreement.split_writer(node)
@@ -216,3 +272,17 @@
         return peer_pb2.StopOrderResponse(
             in_force=in_force
         ).SerializeToString()
+
+    def _on_doubt(self, sender: str, body: bytes) -> bytes:
+        try:
+            doubt = peer_pb2.TargetDoubt.FromString(body)
+        except protobuf.DecodeError as error:
+            raise _server.BadRequestError(str(error)) from error
+        if len(doubt.target) > _codec.MAX_NAME_CHARS:
+            raise _server.BadRequestError("the target's name is too long")
+        if self._is_new_doubt(doubt.target):
+            if self._on_doubted is not None:
+                self._on_doubted(doubt.target)
+            if len(self._log.state().nodes_by_name) > DOUBT_FANOUT + 1:
+                self._send_doubt(doubt.target)
+        return peer_pb2.TargetDoubtResponse().SerializeToString()
--- a/packages/node/tests/peers/test_peers.py
+++ b/packages/node/tests/peers/test_peers.py
@@ -3,6 +3,7 @@
 import datetime
 import ipaddress
 import pathlib
+import queue
 import random
 import tempfile
 import typing
@@ -24,9 +25,12 @@
 from quetzalward_node.peers import _channels
 from quetzalward_node.peers import _codec
 from quetzalward_node.peers import _knowledge
+from quetzalward_node.peers import _task
 
 SECRET = b"0123456789abcdef"
 ZONE = membership.StopKind.ZONE
+# Far beyond any wait of a healthy run; only a fault uses it up.
+PATIENCE_S = 30.0
 
 
 class Log(fakes.Log):
@@ -285,6 +289,66 @@
         self.assertFalse(cluster.tasks[0].send_stop("n7", ZONE, "z9", 0))
 
 
+class DoubtTest(PeersTestCase):
+    """Guards against a cold target that only one node knows of (R3)."""
+
+    def listen(self, cluster: Cluster) -> "queue.Queue[tuple[int, str]]":
+        """Return what the nodes hear, with the number of the node."""
+        heard: queue.Queue[tuple[int, str]] = queue.Queue()
+        for index, task in enumerate(cluster.tasks):
+            task.on_doubted(
+                lambda target, index=index: heard.put((index, target))
+            )
+        return heard
+
+    def hearers(
+        self, heard: "queue.Queue[tuple[int, str]]", count: int
+    ) -> set[int]:
+        return {heard.get(timeout=PATIENCE_S)[0] for _ in range(count)}
+
+    def test_every_other_node_hears_it_once(self) -> None:
+        cluster = self.cluster(4)
+        heard = self.listen(cluster)
+        cluster.tasks[0].announce_doubt("g1")
+        self.assertEqual({1, 2, 3}, self.hearers(heard, 3))
+        cluster.tasks[0].announce_doubt("g1")
+        cluster.tasks[1].announce_doubt("g1")
+        cluster.tasks[1].announce_doubt("g2")
+        told = {heard.get(timeout=PATIENCE_S) for _ in range(3)}
+        self.assertEqual({(0, "g2"), (2, "g2"), (3, "g2")}, told)
+
+    def test_a_later_doubt_is_told_again(self) -> None:
+        cluster = self.cluster(2)
+        heard = self.listen(cluster)
+        cluster.tasks[0].announce_doubt("g1")
+        self.hearers(heard, 1)
+        cluster.clock.advance(_task.DOUBT_GAP_MS)
+        cluster.tasks[0].announce_doubt("g1")
+        self.hearers(heard, 1)
+
+    def test_a_large_fleet_passes_it_on(self) -> None:
+        # Each node tells 8 of the 13 others; the seeds are the nodes' numbers.
+        cluster = self.cluster(14)
+        heard = self.listen(cluster)
+        cluster.tasks[0].announce_doubt("g1")
+        self.assertEqual(set(range(1, 14)), self.hearers(heard, 13))
+
+    def test_a_dead_node_holds_nobody_up(self) -> None:
+        cluster = self.cluster(3)
+        heard = self.listen(cluster)
+        cluster.tasks[1].stop()
+        cluster.tasks[0].announce_doubt("g1")
+        self.assertEqual({2}, self.hearers(heard, 1))
+
+    def test_a_name_beyond_the_bound_is_refused(self) -> None:
+        cluster = self.cluster(2)
+        heard = self.listen(cluster)
+        cluster.tasks[0].announce_doubt("g" * (_codec.MAX_NAME_CHARS + 1))
+        cluster.tasks[0].announce_doubt("g1")
+        self.assertEqual((1, "g1"), heard.get(timeout=PATIENCE_S))
+        self.assertTrue(heard.empty())
+
+
 class AskCallTest(PeersTestCase):
     """Guards against wrong statements about calls that must not repeat."""
 
--- a/packages/node/tests/test_dispatch_state.py
+++ b/packages/node/tests/test_dispatch_state.py
@@ -181,6 +181,56 @@
         self.assertNotIn(grant.target_id, targets)
 
 
+class DoubtTest(unittest.TestCase):
+    """Guards against work as to a warm target that turned cold (R3).
+
+    Three nodes that each learned of it from their own attempts or polls only
+    sent it more than it bears.
+    """
+
+    def setUp(self) -> None:
+        self.fixture = Fixture()
+
+    def doubts_after(
+        self, result: interfaces.AttemptResult
+    ) -> tuple[str, frozenset[str]]:
+        [grant] = self.fixture.grants(1)
+        report = interfaces.AttemptReport(result)
+        self.fixture.state.release(grant, report, 0)
+        return grant.target_id, self.fixture.state.pool.take_doubts()
+
+    def test_broken_and_cold_attempts_are_passed_on_once(self) -> None:
+        for result in (
+            interfaces.AttemptResult.FAILED,
+            interfaces.AttemptResult.TIMED_OUT,
+            interfaces.AttemptResult.COLD,
+        ):
+            with self.subTest(result=result):
+                self.setUp()
+                target_id, doubts = self.doubts_after(result)
+                self.assertEqual({target_id}, doubts)
+                self.assertEqual(
+                    frozenset(), self.fixture.state.pool.take_doubts()
+                )
+
+    def test_refusal_for_load_is_not_passed_on(self) -> None:
+        _, doubts = self.doubts_after(interfaces.AttemptResult.REFUSED)
+        self.assertEqual(frozenset(), doubts)
+
+    def test_doubted_target_rests_until_a_newer_report(self) -> None:
+        self.fixture.state.pool.doubt("g1", 0)
+        targets = {one.target_id for one in self.fixture.grants(4)}
+        self.assertEqual({"g0", "g2"}, targets)
+        self.fixture.advance(1_000)
+        outcome = self.fixture.submit(9)
+        assert isinstance(outcome, interfaces.Grant)
+        self.assertEqual("g1", outcome.target_id)
+
+    def test_unknown_target_is_ignored(self) -> None:
+        self.fixture.state.pool.doubt("elsewhere", 0)
+        self.assertEqual(6, len(self.fixture.grants(6)))
+
+
 class ColdTest(unittest.TestCase):
     """Guards against full load on a cold target (R3)."""
 
--- a/packages/node/tests/test_dispatch_task.py
+++ b/packages/node/tests/test_dispatch_task.py
@@ -1,6 +1,7 @@
 """Tests of the dispatch task's threads, messages and services."""
 
 import concurrent.futures
+import queue
 import random
 import threading
 import time
@@ -47,6 +48,7 @@
         self.group = testing.make_group()
         self.control = fakes.Control(fakes.make_control([self.group]))
         self.demands = fakes.Demands()
+        self.doubts: queue.Queue[str] = queue.Queue()
         self.clock = clock.SystemClock()
         self.task = dispatch.DispatchTask(
             "n1",
@@ -55,6 +57,7 @@
             self.demands,
             self.clock,
             random.Random(1),
+            self.doubts.put,
         )
         self.task.start()
         self.addCleanup(self.task.stop)
@@ -160,6 +163,35 @@
         self.assertEqual(sum(allowed), 10)
 
 
+class DoubtTest(TaskCase):
+    """Guards against evidence of a cold target that stays on one node."""
+
+    def test_broken_attempt_is_announced(self) -> None:
+        grant = self.task.acquire(self.request(1))
+        broken = interfaces.AttemptReport(interfaces.AttemptResult.FAILED)
+        self.task.release(grant, broken)
+        self.assertEqual("g1", self.doubts.get(timeout=PATIENCE_S))
+
+    def test_doubt_of_another_node_holds_work_back(self) -> None:
+        # A report of the present; the fixture's one is of the future.
+        now_ms = self.clock.now_ms()
+        self.task.doubt_target("g1")
+        report = testing.make_report(self.group, now_ms, bearable=4)
+        self.task.publish_targets(
+            interfaces.TargetsView(
+                frozenset({"g1"}),
+                {"g1": report},
+                {"g1": "http://g1"},
+                testing.make_host_list([self.group], now_ms),
+            ),
+            (),
+        )
+        with self.assertRaises(errors.QuetzalwardError):
+            self.task.acquire(self.request(1, wait_ms=200))
+        self.publish()
+        self.assertEqual("g1", self.task.acquire(self.request(2)).target_id)
+
+
 class ServiceTest(TaskCase):
     """Guards the choice of service replicas."""
 
