Count groups once a tick; one place for standby groups and relayed positions

Two followers of the store repeated the same rule on relayed reads, and Host.is_free_for repeated what Roster.free checks. Change: groups and needs are counted once a tick, by domain; Formation.form says whether a domain is whole; the standby prefix and both checks stand in grouping/_model; position and _is_relayed stand in the followers' base class; Directory.seen, which nothing used, is gone. Behaviour is unchanged.

--- a/packages/core/src/quetzalward_core/fleet/_directory.py
+++ b/packages/core/src/quetzalward_core/fleet/_directory.py
@@ -89,10 +89,6 @@
         seen = self._by_id.get(target_id)
         return seen.target if seen else None
 
-    def seen(self, target_id: str) -> Seen | None:
-        """Return the entry of an id with its age's start."""
-        return self._by_id.get(target_id)
-
     def of_service(self, service: str) -> list[_model.Target]:
         """Return the targets of a service, draining ones too."""
         return [
--- a/packages/core/src/quetzalward_core/grouping/_adoption.py
+++ b/packages/core/src/quetzalward_core/grouping/_adoption.py
@@ -18,7 +18,7 @@
     found: dict[str, dict[int, dict[int, _model.Host]]] = {}
     for host in roster.host_by_id.values():
         seat = host.membership
-        if seat is not None and not _roster.is_standby(seat):
+        if seat is not None and not _model.is_standby(seat):
             by_epoch = found.setdefault(seat.group, {})
             by_epoch.setdefault(seat.epoch, {})[seat.rank] = host
     for name, host_by_rank_by_epoch in found.items():
--- a/packages/core/src/quetzalward_core/grouping/_coordinator.py
+++ b/packages/core/src/quetzalward_core/grouping/_coordinator.py
@@ -197,17 +197,26 @@
         """Repair broken groups, form new ones, stage and warm spares."""
         hosts_by_domain = self._roster.usable_by_domain(now_ms)
         self._formation.repair(hosts_by_domain, now_ms, commands)
-        total = self._roster.count_groups()
+        counts_by_domain = self._roster.count_by_domain()
+        total: dict[str, int] = {}
+        for counts in counts_by_domain.values():
+            for name, count in counts.items():
+                total[name] = total.get(name, 0) + count
+        needs = self._spares.needs(engine)
         models = list(engine.models_by_name.values())
         wishes: list[_spares.Wish] = []
         for domain in sorted(hosts_by_domain):
             hosts = hosts_by_domain[domain]
-            standing = self._roster.count_groups(domain)
+            standing = counts_by_domain.get(domain, {})
             pattern = _pattern.plan_domain(len(hosts), standing, total, models)
-            self._formation.form(engine, domain, hosts, pattern, now_ms)
-            if self._roster.count_groups(domain) == pattern.groups_by_model:
+            is_whole = self._formation.form(
+                engine, hosts, pattern, standing, now_ms
+            )
+            if is_whole:
                 self._spares.warm(engine, hosts, now_ms, commands)
-            wishes += self._spares.wishes(engine, domain, hosts, pattern)
+            wishes += self._spares.wishes(
+                engine, domain, hosts, pattern, needs
+            )
         self._spares.stage(
             engine, wishes, self.before_traffic, now_ms, commands
         )
@@ -223,7 +232,7 @@
         """
         for host in self.host_by_id.values():
             seat = host.membership
-            if seat is None or _roster.is_standby(seat):
+            if seat is None or _model.is_standby(seat):
                 continue
             group = self._roster.group_by_member.get(host.id)
             if group is not None and group.name == seat.group:
--- a/packages/core/src/quetzalward_core/grouping/_formation.py
+++ b/packages/core/src/quetzalward_core/grouping/_formation.py
@@ -1,6 +1,7 @@
 """Repairs broken groups and forms new ones from staged hosts."""
 
 import collections.abc
+import typing
 
 from quetzalward_core import clock
 from quetzalward_core import fleet
@@ -109,27 +110,32 @@
     def form(
         self,
         engine: fleet.Engine,
-        domain: str,
         hosts: list[_model.Host],
         pattern: _pattern.Pattern,
+        standing_by_model: typing.Mapping[str, int],
         now_ms: clock.Millis,
-    ) -> None:
-        """Form the groups that a domain's pattern lacks."""
-        standing = self._roster.count_groups(domain)
+    ) -> bool:
+        """Form the groups that a domain's pattern lacks.
+
+        Returns whether none is lacking any more.
+        """
+        is_whole = True
         for name, wanted in sorted(pattern.groups_by_model.items()):
             model = engine.models_by_name.get(name)
             if model is None:
                 continue
-            for _ in range(wanted - standing.get(name, 0)):
+            for _ in range(wanted - standing_by_model.get(name, 0)):
                 staged = [
                     host
                     for host in self._roster.free(hosts)
                     if name in host.staged
                 ]
                 if len(staged) < model.group_size:
+                    is_whole = False
                     break
                 staged.sort(key=lambda host: (-host.alive_ms, host.id))
                 self._create(model, staged[: model.group_size], now_ms)
+        return is_whole
 
     def _create(
         self,
--- a/packages/core/src/quetzalward_core/grouping/_lifecycle.py
+++ b/packages/core/src/quetzalward_core/grouping/_lifecycle.py
@@ -69,7 +69,7 @@
                 continue
             if member in group.ready or host.is_in(group.name, group.epoch):
                 continue
-            if not host.is_free_for(group.name, _roster.STANDBY_PREFIX):
+            if not host.is_free_for(group.name):
                 continue
             sequence = self._roster.sequence_of(host, now_ms, commands)
             if sequence is None:
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -8,6 +8,9 @@
 from quetzalward_core import clock
 from quetzalward_core import fleet
 
+# Names of groups of one target that only keep it warm.
+STANDBY_PREFIX = "standby"
+
 
 @attrs.frozen
 class Join:
@@ -154,6 +157,11 @@
     return name.partition(".")[2]
 
 
+def is_standby(seat: fleet.Membership) -> bool:
+    """Tell whether a membership only keeps its target warm."""
+    return seat.group.startswith(STANDBY_PREFIX)
+
+
 @attrs.define
 class Host:
     """What the coordinator knows of one target."""
@@ -205,14 +213,15 @@
         if self.staging is not None and self.staging in staged:
             self.staging = None
 
-    def is_free_for(self, group: str, standby: str) -> bool:
+    @property
+    def is_free(self) -> bool:
+        """Tell whether the target is in no group that serves or may do so."""
+        return self.membership is None or is_standby(self.membership)
+
+    def is_free_for(self, group: str) -> bool:
         """Tell whether a join of a group takes the host from no other."""
         seat = self.membership
-        return (
-            seat is None
-            or seat.group == group
-            or seat.group.startswith(standby)
-        )
+        return self.is_free or (seat is not None and seat.group == group)
 
     def note_staging(self, model: str, answer: OrderAnswer) -> None:
         """Take the answer to an order to stage."""
--- a/packages/core/src/quetzalward_core/grouping/_roster.py
+++ b/packages/core/src/quetzalward_core/grouping/_roster.py
@@ -14,13 +14,6 @@
 SUSPECT_MS = 2_500
 # A report this old no longer proves what a target is.
 CERTAIN_MS = 1_500
-# Names of groups of one target that only keep it warm.
-STANDBY_PREFIX = "standby"
-
-
-def is_standby(seat: fleet.Membership) -> bool:
-    """Tell whether a membership only keeps its target warm."""
-    return seat.group.startswith(STANDBY_PREFIX)
 
 
 @attrs.define
@@ -94,8 +87,7 @@
         return [
             host
             for host in hosts
-            if host.id not in self.group_by_member
-            and (host.membership is None or is_standby(host.membership))
+            if host.id not in self.group_by_member and host.is_free
         ]
 
     def probe(
@@ -162,12 +154,12 @@
             and self.group_by_member.get(member) is group
         ]
 
-    def count_groups(self, domain: str | None = None) -> dict[str, int]:
-        """Return the number of groups by model, of one domain or of all."""
-        counts: dict[str, int] = {}
+    def count_by_domain(self) -> dict[str, dict[str, int]]:
+        """Return the number of groups by domain and model."""
+        counts: dict[str, dict[str, int]] = {}
         for group in self.group_by_name.values():
-            if domain is None or group.domain == domain:
-                counts[group.model] = counts.get(group.model, 0) + 1
+            row = counts.setdefault(group.domain, {})
+            row[group.model] = row.get(group.model, 0) + 1
         return counts
 
     def is_producing(self, group: _model.Group) -> bool:
--- a/packages/core/src/quetzalward_core/grouping/_spares.py
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -35,6 +35,16 @@
     model: str
 
 
+@attrs.frozen
+class Needs:
+    """What the groups of all domains lack."""
+
+    # Members that broken groups lack, by domain and model.
+    missing_by_domain: dict[str, dict[str, int]]
+    # Hosts of open groups, by their model's share of the work.
+    served_by_model: dict[str, float]
+
+
 class Spares:
     """Decides what spare hosts hold."""
 
@@ -74,7 +84,7 @@
             if sequence is not None:
                 self._warmed_ms_by_id[host.id] = now_ms
                 epoch = self._next_epoch()
-                name = f"{_roster.STANDBY_PREFIX}{epoch}.{model}"
+                name = f"{_model.STANDBY_PREFIX}{epoch}.{model}"
                 commands.append(
                     _model.Join(
                         host.id, name, epoch, model, (host.id,), sequence
@@ -87,6 +97,7 @@
         domain: str,
         hosts: list[_model.Host],
         pattern: _pattern.Pattern,
+        needs: Needs,
     ) -> list[Wish]:
         """Return what to stage on the hosts of a domain."""
         deficit = dict(pattern.hosts_by_model)
@@ -100,8 +111,8 @@
                     idle.append(host)
         # Hosts that hold nothing come first; a reload throws weights away.
         idle.sort(key=lambda host: (len(host.staged), host.id))
-        missing = self._missing(domain)
-        served = self._served(engine)
+        missing = dict(needs.missing_by_domain.get(domain, {}))
+        served = needs.served_by_model
         names = sorted(deficit, key=lambda n: (n not in missing, served[n], n))
         result: list[Wish] = []
         for name in names:
@@ -122,28 +133,24 @@
                 )
         return result
 
-    def _missing(self, domain: str) -> dict[str, int]:
-        """Return the members that broken groups of a domain lack."""
-        counts: dict[str, int] = {}
-        for group in self._roster.in_phase(_model.Phase.BROKEN):
-            if group.domain == domain:
+    def needs(self, engine: fleet.Engine) -> Needs:
+        """Return what the groups lack now."""
+        needs = Needs({}, dict.fromkeys(engine.models_by_name, 0.0))
+        for group in self._roster.group_by_name.values():
+            model = engine.models_by_name.get(group.model)
+            if group.phase is _model.Phase.OPEN and model is not None:
+                served = model.group_size / max(model.share, 0.01)
+                needs.served_by_model[model.name] += served
+            if group.phase is _model.Phase.BROKEN:
                 seated = [
                     member
                     for member in group.members
                     if member in self._roster.host_by_id
                 ]
+                row = needs.missing_by_domain.setdefault(group.domain, {})
                 lacking = group.size - len(seated)
-                counts[group.model] = counts.get(group.model, 0) + lacking
-        return counts
-
-    def _served(self, engine: fleet.Engine) -> dict[str, float]:
-        """Return how well the open groups of each model serve its share."""
-        served = dict.fromkeys(engine.models_by_name, 0.0)
-        for group in self._roster.in_phase(_model.Phase.OPEN):
-            model = engine.models_by_name.get(group.model)
-            if model is not None:
-                served[model.name] += model.group_size / max(model.share, 0.01)
-        return served
+                row[group.model] = row.get(group.model, 0) + lacking
+        return needs
 
     def stage(
         self,
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -55,6 +55,8 @@
         self._wake = asyncio.Event()
         self._topic = topic
         self._offset: int | None = None
+        # End of the topic as the coordinator last told it.
+        self._relayed_end = -1
         self._failing_since_ms: clock.Millis | None = None
         self._retry_ms = FIRST_RETRY_MS
         self._called_ms = 0
@@ -115,14 +117,25 @@
         self._failing_since_ms = None
         self._retry_ms = FIRST_RETRY_MS
 
+    def position(self) -> tuple[int, clock.Millis] | None:
+        """Return the offset read up to, and the age of that knowledge."""
+        age_ms = self._age_ms()
+        if self._offset is None or age_ms is None:
+            return None
+        return self._offset, age_ms
+
     def _is_relayed(self) -> bool:
         """Tell whether the coordinator's reads make an own one needless."""
-        raise NotImplementedError
-
-    def _relay_limit_ms(self) -> float:
-        """Return the age up to which relayed reads are relied on."""
+        age_ms = self._age_ms()
+        if self._is_holder() or self._offset is None or age_ms is None:
+            return False
         message_ms = self._runtime.state.message_ms()
-        return RELAY_MAX_AGE_MS + RELAY_MAX_INTERVALS * message_ms
+        limit_ms = RELAY_MAX_AGE_MS + RELAY_MAX_INTERVALS * message_ms
+        return age_ms <= limit_ms and self._relayed_end <= self._offset
+
+    def _age_ms(self) -> clock.Millis | None:
+        """Return how long ago the topic was known to end at the offset."""
+        raise NotImplementedError
 
     async def _rest(self) -> None:
         """Wait a moment, or until the coordinator reads something new."""
@@ -163,14 +176,6 @@
     ) -> None:
         """Follow the operators' topic."""
         super().__init__(runtime, runtime.platform.operations_topic, is_holder)
-        self._relayed_end = -1
-
-    def position(self) -> tuple[int, clock.Millis] | None:
-        """Return the offset read up to, and the age of its proof."""
-        age_ms = self._runtime.state.freshness.age_ms(self._runtime.boot_ms())
-        if self._offset is None or age_ms is None:
-            return None
-        return self._offset, age_ms
 
     def relayed(
         self, view: coordination.StoreView, echo_ms: clock.Millis | None
@@ -189,15 +194,8 @@
         else:
             self._wake.set()
 
-    def _is_relayed(self) -> bool:
-        if self._is_holder() or self._offset is None:
-            return False
-        age_ms = self._runtime.state.freshness.age_ms(self._runtime.boot_ms())
-        return (
-            age_ms is not None
-            and age_ms <= self._relay_limit_ms()
-            and self._relayed_end <= self._offset
-        )
+    def _age_ms(self) -> clock.Millis | None:
+        return self._runtime.state.freshness.age_ms(self._runtime.boot_ms())
 
     def _wait_ms(self) -> clock.Millis:
         return HOLDER_WAIT_MS if self._is_holder() else OPERATIONS_WAIT_MS
@@ -279,13 +277,6 @@
         ] = collections.deque()
         # When the entries were last known to be complete.
         self._proven_ms: clock.Millis | None = None
-        self._relayed_end = -1
-
-    def position(self) -> tuple[int, clock.Millis] | None:
-        """Return the offset read up to, and the age of the last read."""
-        if self._offset is None or self._proven_ms is None:
-            return None
-        return self._offset, self._runtime.now_ms() - self._proven_ms
 
     def recent(self) -> tuple[coordination.RelayedRecord, ...]:
         """Return the records to relay."""
@@ -326,15 +317,10 @@
             self._proven_ms = as_of_ms
         self._expire()
 
-    def _is_relayed(self) -> bool:
-        if self._is_holder() or self._offset is None:
-            return False
-        return (
-            self._proven_ms is not None
-            and self._runtime.now_ms() - self._proven_ms
-            <= self._relay_limit_ms()
-            and self._relayed_end <= self._offset
-        )
+    def _age_ms(self) -> clock.Millis | None:
+        if self._proven_ms is None:
+            return None
+        return self._runtime.now_ms() - self._proven_ms
 
     def _wait_ms(self) -> clock.Millis:
         return HOLDER_WAIT_MS if self._is_holder() else TARGETS_WAIT_MS
