Give the odd spare of a domain to the larger groups

Cause: a domain with one group of 16 and four of 4 kept two spares for the large model and three for the small one, although both lose as many members and 16 hosts stand idle while the large group waits for a load. Change: with equal needs, the larger groups get the spare first. Ruled out: spares by expected idle hosts over a load's time, which gives the same division for these sizes.

--- a/packages/core/src/quetzalward_core/grouping/_pattern.py
+++ b/packages/core/src/quetzalward_core/grouping/_pattern.py
@@ -77,12 +77,21 @@
     size_by_model: typing.Mapping[str, int],
     spares: int,
 ) -> dict[str, int]:
-    """Divide the spare hosts by the members that they may replace."""
+    """Divide the spare hosts by the members that they may replace.
+
+    The odd one goes to the larger groups: more hosts stand idle while one
+    of those waits for a load.
+    """
     wanted = {n: size * groups.get(n, 0) for n, size in size_by_model.items()}
     extra = dict.fromkeys(size_by_model, 0)
     for _ in range(spares):
         name = min(
-            size_by_model, key=lambda n: ((extra[n] + 1) / (wanted[n] + 1), n)
+            size_by_model,
+            key=lambda n: (
+                (extra[n] + 1) / (wanted[n] + 1),
+                -size_by_model[n],
+                n,
+            ),
         )
         extra[name] += 1
     return {n: wanted[n] + extra[n] for n in size_by_model}
