Relay configurations; ask a store that is down less often

Change: the coordinator relays the records of the operators' topic as it did those of the targets; both followers share the code. Looks for a holder back off from 250 ms to 2 s. A failed attempt logs how long the stream was silent, which was always 0.

Conclusion: a node in contact with the coordinator reads nothing but its first page and records above 40 kB. Ruled out: longer pauses of the followers' own reads, since a node that hears nobody must find the store within two seconds of its return.

--- a/packages/core/src/quetzalward_core/coordination/__init__.py
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -1,5 +1,6 @@
 """The duty of coordinating groups, and what nodes tell each other."""
 
+from quetzalward_core.coordination._backoff import Backoff
 from quetzalward_core.coordination._election import Election
 from quetzalward_core.coordination._election import MAX_STAGGER_MS
 from quetzalward_core.coordination._election import Term
@@ -13,10 +14,12 @@
 from quetzalward_core.coordination._messages import split_echo
 from quetzalward_core.coordination._messages import Status
 from quetzalward_core.coordination._messages import StoreView
+from quetzalward_core.coordination._messages import TopicView
 from quetzalward_core.coordination._messages import View
 from quetzalward_core.coordination._messages import with_echo
 
 __all__ = [
+    "Backoff",
     "Election",
     "GroupEntry",
     "GroupWork",
@@ -26,6 +29,7 @@
     "Status",
     "StoreView",
     "Term",
+    "TopicView",
     "View",
     "WEAK_DELAY_MS",
     "decode",
--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -66,7 +66,7 @@
 
 @attrs.frozen
 class RelayedRecord:
-    """A record of the targets' topic, as the store holds it."""
+    """A record of a topic, as the store holds it."""
 
     offset: int
     key: str
@@ -74,16 +74,22 @@
     value: str | None
 
 
+@attrs.frozen
+class TopicView:
+    """What the coordinator last read of a topic, and how long ago."""
+
+    end: int
+    age_ms: int
+    # The records of the last moments, up to `end`.
+    records: tuple[RelayedRecord, ...]
+
+
 @attrs.frozen
 class StoreView:
-    """What the coordinator last read from the store, and how long ago."""
+    """What the coordinator last read from the store."""
 
-    operations_end: int
-    operations_age_ms: int
-    targets_end: int
-    targets_age_ms: int
-    # The targets' records of the last moments, up to `targets_end`.
-    targets: tuple[RelayedRecord, ...]
+    operations: TopicView
+    targets: TopicView
 
 
 @attrs.frozen
@@ -127,12 +133,15 @@
 
 def _store_view(row: list[typing.Any]) -> StoreView:
     """Return the part of a view about the store."""
-    operations_end, operations_age, targets_end, targets_age, records = row
-    return StoreView(
-        int(operations_end),
-        int(operations_age),
-        int(targets_end),
-        int(targets_age),
+    operations, targets = row
+    return StoreView(_topic_view(operations), _topic_view(targets))
+
+
+def _topic_view(row: list[typing.Any]) -> TopicView:
+    end, age_ms, records = row
+    return TopicView(
+        int(end),
+        int(age_ms),
         tuple(RelayedRecord(*item) for item in records),
     )
 
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -133,6 +133,25 @@
         self.assertGreaterEqual(len(store.terms), 1)
 
 
+class BackoffTest(unittest.TestCase):
+    """Guards against a store that is asked by all nodes while it is down."""
+
+    def test_pauses_grow_to_the_bound_and_start_anew(self) -> None:
+        """75 nodes asked 290 times a second for a holder of the duty."""
+        backoff = coordination.Backoff(250, 2)
+        pauses = [backoff.failed(2_000) for _ in range(6)]
+        self.assertEqual([250, 500, 1_000, 2_000, 2_000, 2_000], pauses)
+        backoff.succeeded()
+        self.assertEqual(250, backoff.failed(2_000))
+
+    def test_lower_bound_holds_at_once(self) -> None:
+        """A node that takes the duty asks as often as a holder does."""
+        backoff = coordination.Backoff(60, 3)
+        for _ in range(6):
+            backoff.failed(2_000)
+        self.assertEqual(400, backoff.failed(400))
+
+
 class MessageTest(unittest.TestCase):
     """Guards against messages that stop a node that reads them."""
 
@@ -149,7 +168,10 @@
             (coordination.GroupWork("g", 1, 2.0, 30.0, 5, False),),
             (coordination.Outcome("t", 3, 1, 20.0),),
             coordination.StoreView(
-                4, 100, 9, 50, (coordination.RelayedRecord(8, "t", None),)
+                coordination.TopicView(4, 100, ()),
+                coordination.TopicView(
+                    9, 50, (coordination.RelayedRecord(8, "t", None),)
+                ),
             ),
         )
         self.assertEqual(view, coordination.decode(coordination.encode(view)))
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -22,8 +22,11 @@
 CHECK_TERM_MS = 1_000
 # A group counts as stalled if no node received an event for so long.
 STALL_AGE_MS = 220
-# A failed look at the store is repeated after this.
+# A failed look at the store is repeated after this, then less often: while
+# the store is down, all nodes look for a holder that reaches it.
 CLAIM_RETRY_MS = 250
+CLAIM_RETRY_FACTOR = 2
+CLAIM_MAX_RETRY_MS = 2_000
 # The state of the fleet is logged this often.
 FLEET_LOG_MS = 2_000
 _KEY = "coordinator"
@@ -73,6 +76,10 @@
         self._fleet_ms = 0
         self._checked_ms = 0
         self._looked_ms = -CLAIM_RETRY_MS
+        self._look_pause_ms = CLAIM_RETRY_MS
+        self._backoff = coordination.Backoff(
+            CLAIM_RETRY_MS, CLAIM_RETRY_FACTOR
+        )
         self._looking: asyncio.Task[None] | None = None
 
     @property
@@ -121,11 +128,11 @@
         self._runtime.state.apply_view(message, now_ms)
         store = message.store
         self._election.store_age(
-            store.operations_age_ms if store else None, now_ms
+            store.operations.age_ms if store else None, now_ms
         )
         if message.store is not None:
-            self._operations.relayed(message.store, echo_ms)
-            self._targets.relayed(message.store, echo_ms)
+            self._operations.relayed(message.store.operations, echo_ms)
+            self._targets.relayed(message.store.targets, echo_ms)
 
     def _send(self, now_ms: clock.Millis) -> None:
         term = self._election.term
@@ -181,13 +188,11 @@
 
     def _store_view(self) -> coordination.StoreView | None:
         """Return what was last read from the store, for the other nodes."""
-        operations = self._operations.position()
-        targets = self._targets.position()
+        operations = self._operations.view()
+        targets = self._targets.view()
         if operations is None or targets is None:
             return None
-        return coordination.StoreView(
-            *operations, *targets, self._targets.recent()
-        )
+        return coordination.StoreView(operations, targets)
 
     # The duty.
 
@@ -199,7 +204,7 @@
         else:
             due = (
                 self._election.should_look(now_ms)
-                and now_ms - self._looked_ms >= CLAIM_RETRY_MS
+                and now_ms - self._looked_ms >= self._look_pause_ms
             )
         if due:
             self._checked_ms = self._looked_ms = now_ms
@@ -213,6 +218,8 @@
         held = self.is_holder
         try:
             page = await runtime.platform.log.newest(topic)
+            self._backoff.succeeded()
+            self._look_pause_ms = CLAIM_RETRY_MS
             term = self._decode_term(page)
             claim = self._election.read(term, runtime.now_ms())
             if held and not self.is_holder:
@@ -228,6 +235,7 @@
             )
         except _ports.StoreError as error:
             runtime.log.event("duty_unknown", reason=str(error))
+            self._look_pause_ms = self._backoff.failed(CLAIM_MAX_RETRY_MS)
             return
         self._begin(offset + 1)
 
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -161,7 +161,7 @@
             reason=last.reason,
             predicted_ms=round(place.first_event_ms),
             group_active=load.active,
-            group_silent_ms=load.silent_ms(self._call.runtime.now_ms()),
+            silent_ms=self._call.runtime.now_ms() - self._event_ms,
             last_event=self._sequence.last_id,
         )
 
--- a/packages/gateway/src/quetzalward_gateway/_sync.py
+++ b/packages/gateway/src/quetzalward_gateway/_sync.py
@@ -32,11 +32,13 @@
 RELAY_LOOK_MS = 100
 # Records are relayed for so long; a node that missed more reads the store.
 RELAY_MS = 1_500
-# Larger messages are lost on a full link, and the coordinator with them.
+# Records of a topic beyond this are not relayed: larger messages are lost on
+# a full link, and the coordinator with them.
 RELAY_BYTES = 40_000
 # After an error: soon, then slower; refused calls are priced too. The
 # coordinator tries oftener, and what it reads spares the others their calls.
 FIRST_RETRY_MS = 60
+RETRY_FACTOR = 3
 HOLDER_MAX_RETRY_MS = 400
 MAX_RETRY_MS = 2_000
 
@@ -57,8 +59,12 @@
         self._offset: int | None = None
         # End of the topic as the coordinator last told it.
         self._relayed_end = -1
+        # What was read lately, to be relayed.
+        self._recent: collections.deque[
+            tuple[clock.Millis, coordination.RelayedRecord]
+        ] = collections.deque()
         self._failing_since_ms: clock.Millis | None = None
-        self._retry_ms = FIRST_RETRY_MS
+        self._backoff = coordination.Backoff(FIRST_RETRY_MS, RETRY_FACTOR)
         self._called_ms = 0
 
     async def run(self) -> None:
@@ -88,6 +94,7 @@
             page = await log.newest(self._topic)
             self._take_all(page, sent_ms)
             self._offset = page.end
+            self._recent.clear()
             return
         wait_ms = self._wait_ms()
         page = await log.read(self._topic, self._offset, wait_ms)
@@ -95,6 +102,7 @@
         fresh = [r for r in page.records if r.offset >= self._offset]
         self._offset = max(self._offset, page.end)
         self._take(attrs.evolve(page, records=tuple(fresh)), sent_ms, wait_ms)
+        self._remember(fresh)
 
     async def _failed(self, error: _ports.StoreError) -> None:
         now_ms = self._runtime.now_ms()
@@ -103,9 +111,9 @@
             self._runtime.log.event(
                 "store_lost", topic=self._topic, reason=str(error)
             )
-        await asyncio.sleep(self._retry_ms / clock.MILLIS_PER_SECOND)
-        most = HOLDER_MAX_RETRY_MS if self._is_holder() else MAX_RETRY_MS
-        self._retry_ms = min(most, 3 * self._retry_ms)
+        most_ms = HOLDER_MAX_RETRY_MS if self._is_holder() else MAX_RETRY_MS
+        pause_ms = self._backoff.failed(most_ms)
+        await asyncio.sleep(pause_ms / clock.MILLIS_PER_SECOND)
 
     def _succeeded(self) -> None:
         if self._failing_since_ms is not None:
@@ -115,14 +123,71 @@
                 after_ms=self._runtime.now_ms() - self._failing_since_ms,
             )
         self._failing_since_ms = None
-        self._retry_ms = FIRST_RETRY_MS
+        self._backoff.succeeded()
 
-    def position(self) -> tuple[int, clock.Millis] | None:
-        """Return the offset read up to, and the age of that knowledge."""
+    def view(self) -> coordination.TopicView | None:
+        """Return what the other nodes are told of the topic."""
         age_ms = self._age_ms()
         if self._offset is None or age_ms is None:
             return None
-        return self._offset, age_ms
+        self._forget_old()
+        kept: list[coordination.RelayedRecord] = []
+        size = 0
+        for _, record in reversed(self._recent):
+            size += len(record.value or "") + len(record.key)
+            if size > RELAY_BYTES:
+                break
+            kept.append(record)
+        return coordination.TopicView(
+            self._offset, age_ms, tuple(reversed(kept))
+        )
+
+    def relayed(
+        self, view: coordination.TopicView, echo_ms: clock.Millis | None
+    ) -> None:
+        """Take what the coordinator read of the topic.
+
+        Its age counts from when this node sent the status that the view
+        answers; when the view arrived proves nothing, since a suspended
+        machine reads it late.
+        """
+        self._relayed_end = view.end
+        offset = self._offset
+        if offset is None or view.end < offset or echo_ms is None:
+            return
+        fresh = [r for r in view.records if r.offset >= offset]
+        numbers = [record.offset for record in fresh]
+        if numbers != list(range(offset, view.end)):
+            # Messages were lost, or a record is too large.
+            self._wake.set()
+            return
+        records = tuple(
+            _ports.Record(
+                r.offset, r.key, None if r.value is None else r.value.encode()
+            )
+            for r in fresh
+        )
+        self._take_relayed(records, echo_ms - view.age_ms)
+        self._offset = view.end
+
+    def _remember(
+        self, records: collections.abc.Iterable[_ports.Record]
+    ) -> None:
+        """Keep records that were read for the other nodes."""
+        now_ms = self._runtime.now_ms()
+        for record in records:
+            value = record.value
+            text = None if value is None else value.decode("utf-8", "replace")
+            relayed = coordination.RelayedRecord(
+                record.offset, record.key, text
+            )
+            self._recent.append((now_ms, relayed))
+        self._forget_old()
+
+    def _forget_old(self) -> None:
+        bound_ms = self._runtime.now_ms() - RELAY_MS
+        while self._recent and self._recent[0][0] < bound_ms:
+            self._recent.popleft()
 
     def _is_relayed(self) -> bool:
         """Tell whether the coordinator's reads make an own one needless."""
@@ -157,6 +222,12 @@
     def _take_all(self, page: _ports.Page, sent_ms: clock.Millis) -> None:
         raise NotImplementedError
 
+    def _take_relayed(
+        self, records: tuple[_ports.Record, ...], known_ms: clock.Millis
+    ) -> None:
+        """Take records after which the topic ended at `known_ms`."""
+        raise NotImplementedError
+
     def _take(
         self,
         page: _ports.Page,
@@ -177,22 +248,12 @@
         """Follow the operators' topic."""
         super().__init__(runtime, runtime.platform.operations_topic, is_holder)
 
-    def relayed(
-        self, view: coordination.StoreView, echo_ms: clock.Millis | None
+    def _take_relayed(
+        self, records: tuple[_ports.Record, ...], known_ms: clock.Millis
     ) -> None:
-        """Take the coordinator's proof that nothing newer exists.
-
-        Its age counts from when this node sent the status that the view
-        answers; when the view arrived proves nothing, since a suspended
-        machine reads it late.
-        """
-        self._relayed_end = view.operations_end
-        if view.operations_end == self._offset and echo_ms is not None:
-            self._runtime.state.freshness.confirm(
-                echo_ms - view.operations_age_ms
-            )
-        else:
-            self._wake.set()
+        for record in records:
+            self._apply(record)
+        self._runtime.state.freshness.confirm(known_ms)
 
     def _age_ms(self) -> clock.Millis | None:
         return self._runtime.state.freshness.age_ms(self._runtime.boot_ms())
@@ -272,47 +333,17 @@
     ) -> None:
         """Follow the targets' topic."""
         super().__init__(runtime, runtime.platform.targets_topic, is_holder)
-        self._recent: collections.deque[
-            tuple[clock.Millis, coordination.RelayedRecord]
-        ] = collections.deque()
         # When the entries were last known to be complete.
         self._proven_ms: clock.Millis | None = None
 
-    def recent(self) -> tuple[coordination.RelayedRecord, ...]:
-        """Return the records to relay."""
-        bound_ms = self._runtime.now_ms() - RELAY_MS
-        while self._recent and self._recent[0][0] < bound_ms:
-            self._recent.popleft()
-        kept: list[coordination.RelayedRecord] = []
-        size = 0
-        for _, record in reversed(self._recent):
-            size += len(record.value or "") + len(record.key)
-            if size > RELAY_BYTES:
-                break
-            kept.append(record)
-        return tuple(reversed(kept))
-
-    def relayed(
-        self, view: coordination.StoreView, echo_ms: clock.Millis | None
+    def _take_relayed(
+        self, records: tuple[_ports.Record, ...], known_ms: clock.Millis
     ) -> None:
-        """Take the records that the coordinator read."""
-        self._relayed_end = view.targets_end
-        offset = self._offset
-        if offset is None or view.targets_end < offset or echo_ms is None:
-            return
-        fresh = [r for r in view.targets if r.offset >= offset]
-        numbers = [record.offset for record in fresh]
-        if numbers != list(range(offset, view.targets_end)):
-            self._wake.set()
-            return
         now_ms = self._runtime.now_ms()
-        transit_ms = self._runtime.boot_ms() - echo_ms
-        as_of_ms = now_ms - view.targets_age_ms - transit_ms
+        as_of_ms = now_ms - (self._runtime.boot_ms() - known_ms)
         self._runtime.state.directory.contacted(as_of_ms, now_ms)
-        for item in fresh:
-            value = None if item.value is None else item.value.encode()
-            self._apply(_ports.Record(item.offset, item.key, value), now_ms)
-        self._offset = view.targets_end
+        for record in records:
+            self._apply(record, now_ms)
         if self._proven_ms is None or as_of_ms > self._proven_ms:
             self._proven_ms = as_of_ms
         self._expire()
@@ -344,7 +375,6 @@
                 targets.append(target)
         runtime.state.directory.replace(targets, now_ms)
         runtime.log.event("targets_read", targets=len(targets))
-        self._recent.clear()
         self._proven_ms = now_ms
 
     def _take(
@@ -357,17 +387,6 @@
         self._runtime.state.directory.contacted(self._called_ms, now_ms)
         for record in page.records:
             self._apply(record, now_ms)
-            value = record.value
-            text = None if value is None else value.decode("utf-8", "replace")
-            self._recent.append(
-                (
-                    now_ms,
-                    coordination.RelayedRecord(
-                        record.offset, record.key, text
-                    ),
-                )
-            )
-        self.recent()
         self._proven_ms = now_ms
 
     def _apply(self, record: _ports.Record, now_ms: clock.Millis) -> None:
