Load weights first for the groups that lack the fewest members

Loads went to the model with the least capacity first, however many members its group lacked, and lost members counted as there until their entry lapsed. Change: among loads that complete a broken group, those for the group that lacks the fewest members come first; survivors are counted as the repair counts them. Figures: the new test's load goes to the group that lacks one member, before to a third of one that lacks three. Conclusion: more groups for the same loads. Ruled out: more loads at once, which only slows each; groups over two domains, not built, a third of the speed.

--- a/packages/core/src/quetzalward_core/grouping/_coordinator.py
+++ b/packages/core/src/quetzalward_core/grouping/_coordinator.py
@@ -203,7 +203,7 @@
         for counts in counts_by_domain.values():
             for name, count in counts.items():
                 total[name] = total.get(name, 0) + count
-        needs = self._spares.needs(engine)
+        needs = self._spares.needs(engine, now_ms)
         models = list(engine.models_by_name.values())
         wishes: list[_spares.Wish] = []
         for domain in sorted(hosts_by_domain):
--- a/packages/core/src/quetzalward_core/grouping/_spares.py
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -26,6 +26,9 @@
 
     # 0: completes a broken group, 1: a new group, 2: a spare.
     tier: int
+    # Members that its broken group lacks: loads are scarce, and the groups
+    # that need the fewest are back first.
+    lacking: int
     # Hosts of open groups of the model, by its share of the work.
     served: float
     # Position among the wishes of the domain.
@@ -39,8 +42,8 @@
 class Needs:
     """What the groups of all domains lack."""
 
-    # Members that broken groups lack, by domain and model.
-    missing_by_domain: dict[str, dict[str, int]]
+    # Members that each broken group lacks, by domain and model.
+    lacking_by_domain: dict[str, dict[str, list[int]]]
     # Hosts of open groups, by their model's share of the work.
     served_by_model: dict[str, float]
 
@@ -111,29 +114,65 @@
                     idle.append(host)
         # Hosts that hold nothing come first; a reload throws weights away.
         idle.sort(key=lambda host: (len(host.staged), host.id))
-        missing = dict(needs.missing_by_domain.get(domain, {}))
+        missing = self._missing(domain, hosts, needs)
         served = needs.served_by_model
-        names = sorted(deficit, key=lambda n: (n not in missing, served[n], n))
         result: list[Wish] = []
-        for name in names:
-            wanted = pattern.groups_by_model.get(name, 0)
-            members = wanted * engine.models_by_name[name].group_size
-            while deficit[name] > 0 and idle:
-                host = idle.pop(0)
-                held = pattern.hosts_by_model[name] - deficit[name]
-                tier = 1 if held < members else 2
-                if missing.get(name, 0) > 0:
-                    missing[name] -= 1
-                    tier = 0
-                deficit[name] -= 1
-                result.append(
-                    Wish(
-                        tier, served[name], len(result), domain, host.id, name
-                    )
+        while idle:
+            wishes = [
+                self._wish(
+                    engine, domain, pattern, name, lack, missing, served
                 )
+                for name, lack in deficit.items()
+                if lack > 0
+            ]
+            if not wishes:
+                break
+            wish = attrs.evolve(
+                min(wishes), position=len(result), target_id=idle.pop(0).id
+            )
+            deficit[wish.model] -= 1
+            if wish.tier == 0:
+                missing[wish.model].pop(0)
+            result.append(wish)
         return result
 
-    def needs(self, engine: fleet.Engine) -> Needs:
+    @staticmethod
+    def _wish(
+        engine: fleet.Engine,
+        domain: str,
+        pattern: _pattern.Pattern,
+        name: str,
+        deficit: int,
+        missing: collections.abc.Mapping[str, list[int]],
+        served: collections.abc.Mapping[str, float],
+    ) -> Wish:
+        """Return what one more host with a model is worth to a domain."""
+        if missing.get(name):
+            return Wish(0, missing[name][0], served[name], 0, domain, "", name)
+        groups = pattern.groups_by_model.get(name, 0)
+        members = groups * engine.models_by_name[name].group_size
+        held = pattern.hosts_by_model[name] - deficit
+        tier = 1 if held < members else 2
+        return Wish(tier, 0, served[name], 0, domain, "", name)
+
+    @staticmethod
+    def _missing(
+        domain: str, hosts: list[_model.Host], needs: Needs
+    ) -> dict[str, list[int]]:
+        """Return what each load for a broken group of the domain completes.
+
+        Each is the number of members that the group lacks, fewest first,
+        without the loads that are under way.
+        """
+        missing: dict[str, list[int]] = {}
+        for name, counts in needs.lacking_by_domain.get(domain, {}).items():
+            loads = [count for count in sorted(counts) for _ in range(count)]
+            under_way = sum(1 for host in hosts if host.staging == name)
+            if loads[under_way:]:
+                missing[name] = loads[under_way:]
+        return missing
+
+    def needs(self, engine: fleet.Engine, now_ms: clock.Millis) -> Needs:
         """Return what the groups lack now."""
         needs = Needs({}, dict.fromkeys(engine.models_by_name, 0.0))
         for group in self._roster.group_by_name.values():
@@ -142,14 +181,10 @@
                 served = model.group_size / max(model.share, 0.01)
                 needs.served_by_model[model.name] += served
             if group.phase is _model.Phase.BROKEN:
-                seated = [
-                    member
-                    for member in group.members
-                    if member in self._roster.host_by_id
-                ]
-                row = needs.missing_by_domain.setdefault(group.domain, {})
-                lacking = group.size - len(seated)
-                row[group.model] = row.get(group.model, 0) + lacking
+                survivors = self._roster.survivors(group, now_ms)
+                row = needs.lacking_by_domain.setdefault(group.domain, {})
+                lacking = group.size - len(survivors)
+                row.setdefault(group.model, []).append(lacking)
         return needs
 
     def stage(
--- a/packages/core/tests/grouping/test_coordinator.py
+++ b/packages/core/tests/grouping/test_coordinator.py
@@ -96,6 +96,34 @@
         self.assertLessEqual(world.fleet.now_ms - lost_ms, bound_ms)
         self.assertEqual([], world.fleet.breaches)
 
+    def lose(self, *target_ids: str) -> None:
+        """Kill targets; the coordinator learns of it at once."""
+        now_ms = self.world.fleet.now_ms
+        for target_id in target_ids:
+            self.world.fleet.kill(target_id)
+            self.world.coordinator.reported(target_id, None, now_ms)
+
+    def test_scarce_loads_complete_groups_that_lack_the_fewest(self) -> None:
+        """A load brings back a whole group, or a third of one.
+
+        Six loads at a time of 12 to 16 s are what binds on days that lose
+        hosts quickly; the model with the least capacity got them first.
+        """
+        groups = self.world.coordinator.open_groups()
+        group_by_seat = {(g.domain, g.model): g for g in groups}
+        members = {member for group in groups for member in group.members}
+        self.lose(
+            *(n for n in self.world.fleet.target_by_id if n not in members),
+            *group_by_seat["d0", "large"].members[1:],
+            group_by_seat["d0", "small"].members[1],
+            group_by_seat["d1", "large"].members[1],
+        )
+        self.world.run(200)
+        self.world.fleet.add("new", "d0")
+        self.world.run(200)
+        staging = self.world.coordinator.host_by_id["new"].staging
+        self.assertEqual("small", staging)
+
     def test_lost_head_is_replaced(self) -> None:
         """The survivors of a dead head form the group anew."""
         head = self.world.member("small", rank=0)
