--- a/packages/core/src/quetzalward_core/grouping/_adoption.py
+++ b/packages/core/src/quetzalward_core/grouping/_adoption.py
@@ -51,17 +51,7 @@
             fleet.MemberState.OPEN: _model.Phase.OPEN,
             fleet.MemberState.CLOSING: _model.Phase.CLOSING,
         }.get(states[0] or fleet.MemberState.READY, _model.Phase.OPENING)
-    group = _model.Group(
-        name,
-        model.name,
-        model.group_size,
-        hosts[0].domain,
-        epoch,
-        tuple(host.id for host in hosts),
-        {host.id: host.target.born_ms for host in hosts},
-        phase,
-        now_ms,
-    )
+    group = _model.make_group(name, model, hosts, epoch, phase, now_ms)
     if whole:
         group.ready = set(group.members)
     return group
--- a/packages/core/src/quetzalward_core/grouping/_coordinator.py
+++ b/packages/core/src/quetzalward_core/grouping/_coordinator.py
@@ -7,6 +7,8 @@
 epochs of a later term are higher.
 """
 
+import collections
+
 from quetzalward_core import clock
 from quetzalward_core import fleet
 from quetzalward_core.grouping import _adoption
@@ -65,7 +67,6 @@
     def configure(self, engine: fleet.Engine) -> None:
         """Take the engine of the configuration in force."""
         self._engine = engine
-        self._lifecycle.engine = engine
 
     def observe(self, target: fleet.Target, now_ms: clock.Millis) -> None:
         """Take a target's entry."""
@@ -171,7 +172,7 @@
             self._adopted = True
         commands: list[_model.Command] = []
         for group in self.group_by_name.values():
-            self._lifecycle.advance(group, now_ms, commands)
+            self._lifecycle.advance(engine, group, now_ms, commands)
         self._release_strangers(now_ms, commands)
         self._reform(engine, now_ms, commands)
         for group in self._roster.in_phase(_model.Phase.FORMING):
@@ -200,10 +201,9 @@
         hosts_by_domain = self._roster.usable_by_domain(now_ms)
         self._formation.repair(hosts_by_domain, now_ms, commands)
         counts_by_domain = self._roster.count_by_domain()
-        total: dict[str, int] = {}
+        total: collections.Counter[str] = collections.Counter()
         for counts in counts_by_domain.values():
-            for name, count in counts.items():
-                total[name] = total.get(name, 0) + count
+            total.update(counts)
         needs = self._spares.needs(engine, now_ms)
         models = list(engine.models_by_name.values())
         wishes: list[_spares.Wish] = []
--- a/packages/core/src/quetzalward_core/grouping/_formation.py
+++ b/packages/core/src/quetzalward_core/grouping/_formation.py
@@ -149,16 +149,8 @@
         now_ms: clock.Millis,
     ) -> None:
         epoch = self._next_epoch()
+        name = _model.group_name(epoch, model.name)
+        forming = _model.Phase.FORMING
         self._roster.add(
-            _model.Group(
-                _model.group_name(epoch, model.name),
-                model.name,
-                model.group_size,
-                hosts[0].domain,
-                epoch,
-                tuple(host.id for host in hosts),
-                {host.id: host.target.born_ms for host in hosts},
-                _model.Phase.FORMING,
-                now_ms,
-            )
+            _model.make_group(name, model, hosts, epoch, forming, now_ms)
         )
--- a/packages/core/src/quetzalward_core/grouping/_lifecycle.py
+++ b/packages/core/src/quetzalward_core/grouping/_lifecycle.py
@@ -36,10 +36,10 @@
     def __init__(self, roster: _roster.Roster) -> None:
         """Work on a roster."""
         self._roster = roster
-        self.engine: fleet.Engine | None = None
 
     def advance(
         self,
+        engine: fleet.Engine,
         group: _model.Group,
         now_ms: clock.Millis,
         commands: list[_model.Command],
@@ -51,9 +51,9 @@
             group.fail(now_ms)
             return
         if group.phase is _model.Phase.FORMING:
-            self._await_ready(group, now_ms, commands)
+            self._await_ready(engine, group, now_ms, commands)
         if group.phase is _model.Phase.OPENING:
-            self._await_open(group, now_ms, commands)
+            self._await_open(engine, group, now_ms, commands)
         if group.phase is _model.Phase.OPEN:
             self._watch_open(group, now_ms)
         if group.phase is _model.Phase.CLOSING:
@@ -132,6 +132,7 @@
 
     def _await_ready(
         self,
+        engine: fleet.Engine,
         group: _model.Group,
         now_ms: clock.Millis,
         commands: list[_model.Command],
@@ -140,7 +141,8 @@
             if self._roster.member_state(group, member) in READY_STATES:
                 group.ready.add(member)
             else:
-                self._probe_accepted(group, member, JOIN_MS, now_ms, commands)
+                shown_ms = JOIN_MS + engine.report_lag_ms
+                self._probe_accepted(group, member, shown_ms, now_ms, commands)
         if group.ready.issuperset(group.members):
             group.step("all_ready", now_ms)
             group.accepted_ms_by_id.clear()
@@ -149,6 +151,7 @@
 
     def _await_open(
         self,
+        engine: fleet.Engine,
         group: _model.Group,
         now_ms: clock.Millis,
         commands: list[_model.Command],
@@ -161,8 +164,8 @@
         if state is fleet.MemberState.BROKEN or waited_ms > FORMING_LIMIT_MS:
             group.fail(now_ms)
             return
-        form_ms = self.engine.form_ms if self.engine else 0
-        self._probe_accepted(group, group.head, form_ms, now_ms, commands)
+        shown_ms = engine.form_ms + engine.report_lag_ms
+        self._probe_accepted(group, group.head, shown_ms, now_ms, commands)
         if self._is_due(group, group.head, now_ms):
             commands.append(_model.Open(group.head, group.name, group.epoch))
 
@@ -170,21 +173,19 @@
         self,
         group: _model.Group,
         member: str,
-        takes_ms: clock.Millis,
+        shown_ms: clock.Millis,
         now_ms: clock.Millis,
         commands: list[_model.Command],
     ) -> None:
         """Ask a member for its state once a report should show the change.
 
-        A look before that tells nothing, puts the next one off, and counts
-        as newer than the entry that comes meanwhile.
+        That is `shown_ms` after it accepted the order. A look before tells
+        nothing, puts the next one off, and counts as newer than the entry
+        that comes meanwhile.
         """
         accepted_ms = group.accepted_ms_by_id.get(member)
-        if accepted_ms is None:
-            return
-        lag_ms = self.engine.report_lag_ms if self.engine else 0
-        due_ms = accepted_ms + takes_ms + lag_ms
-        if now_ms >= due_ms:
+        if accepted_ms is not None and now_ms >= accepted_ms + shown_ms:
+            due_ms = accepted_ms + shown_ms
             self._roster.probe(member, now_ms, commands, due_ms)
 
     def _watch_open(self, group: _model.Group, now_ms: clock.Millis) -> None:
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -144,6 +144,28 @@
             self.accepted_ms_by_id.clear()
 
 
+def make_group(
+    name: str,
+    model: fleet.Model,
+    hosts: "list[Host]",
+    epoch: int,
+    phase: Phase,
+    now_ms: clock.Millis,
+) -> Group:
+    """Return a group of hosts of one domain, the head first."""
+    return Group(
+        name,
+        model.name,
+        model.group_size,
+        hosts[0].domain,
+        epoch,
+        tuple(host.id for host in hosts),
+        {host.id: host.target.born_ms for host in hosts},
+        phase,
+        now_ms,
+    )
+
+
 def group_name(epoch: int, model: str) -> str:
     """Return the name of a group that begins at an epoch.
 
--- a/packages/core/src/quetzalward_core/grouping/_spares.py
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -117,43 +117,47 @@
         missing = self._missing(domain, hosts, needs)
         served = needs.served_by_model
         result: list[Wish] = []
-        while idle:
-            wishes = [
-                self._wish(
-                    engine, domain, pattern, name, lack, missing, served
+        while idle and any(count > 0 for count in deficit.values()):
+            (tier, lacking), _, name = min(
+                (
+                    self._rank(engine, pattern, name, count, missing),
+                    served[name],
+                    name,
+                )
+                for name, count in deficit.items()
+                if count > 0
+            )
+            if tier == 0:
+                missing[name].pop(0)
+            deficit[name] -= 1
+            result.append(
+                Wish(
+                    tier,
+                    lacking,
+                    served[name],
+                    len(result),
+                    domain,
+                    idle.pop(0).id,
+                    name,
                 )
-                for name, lack in deficit.items()
-                if lack > 0
-            ]
-            if not wishes:
-                break
-            wish = attrs.evolve(
-                min(wishes), position=len(result), target_id=idle.pop(0).id
             )
-            deficit[wish.model] -= 1
-            if wish.tier == 0:
-                missing[wish.model].pop(0)
-            result.append(wish)
         return result
 
     @staticmethod
-    def _wish(
+    def _rank(
         engine: fleet.Engine,
-        domain: str,
         pattern: _pattern.Pattern,
         name: str,
         deficit: int,
         missing: collections.abc.Mapping[str, list[int]],
-        served: collections.abc.Mapping[str, float],
-    ) -> Wish:
-        """Return what one more host with a model is worth to a domain."""
+    ) -> tuple[int, int]:
+        """Return tier and lacking members of one more host with a model."""
         if missing.get(name):
-            return Wish(0, missing[name][0], served[name], 0, domain, "", name)
+            return 0, missing[name][0]
         groups = pattern.groups_by_model.get(name, 0)
         members = groups * engine.models_by_name[name].group_size
         held = pattern.hosts_by_model[name] - deficit
-        tier = 1 if held < members else 2
-        return Wish(tier, 0, served[name], 0, domain, "", name)
+        return (1 if held < members else 2), 0
 
     @staticmethod
     def _missing(
--- a/packages/core/tests/grouping/test_coordinator.py
+++ b/packages/core/tests/grouping/test_coordinator.py
@@ -62,8 +62,7 @@
     def test_lost_member_is_replaced_by_a_staged_spare(self) -> None:
         """A spare joins within its warm time, without a load."""
         member = self.world.member("large")
-        self.world.fleet.kill(member)
-        self.world.coordinator.reported(member, None, self.world.fleet.now_ms)
+        self.lose(member)
         self.world.run(4_500)
         self.assertEqual({"large": 6, "small": 6}, self.world.open_by_model())
         self.assertEqual([], self.world.fleet.breaches)
@@ -160,8 +159,7 @@
     def test_lost_head_is_replaced(self) -> None:
         """The survivors of a dead head form the group anew."""
         head = self.world.member("small", rank=0)
-        self.world.fleet.kill(head)
-        self.world.coordinator.reported(head, None, self.world.fleet.now_ms)
+        self.lose(head)
         self.world.run(4_500)
         self.assertEqual({"large": 6, "small": 6}, self.world.open_by_model())
         self.assertEqual([], self.world.fleet.breaches)
--- a/packages/core/tests/placing/played_load.py
+++ b/packages/core/tests/placing/played_load.py
@@ -91,7 +91,6 @@
             {name: [0, 0] for name in self._groups} for _ in range(load.nodes)
         ]
         self._status = [dict(own) for own in self._own]
-        self._view = {name: [0, 0] for name in self._groups}
         self._seen = [
             ({name: [0, 0] for name in self._groups}, 0.0)
             for _ in range(load.nodes)
@@ -185,7 +184,7 @@
 
     def _begin_pass(self, name: str, now_ms: float) -> None:
         group = self._groups[name]
-        room = int(self._engine.slots) - len(group.writing)
+        room = self._engine.slots - len(group.writing)
         group.reading = group.waiting[: max(0, room)]
         group.waiting = group.waiting[len(group.reading) :]
         active = len(group.reading) + len(group.writing)
--- a/packages/gateway/src/quetzalward_gateway/_duty.py
+++ b/packages/gateway/src/quetzalward_gateway/_duty.py
@@ -74,7 +74,6 @@
         self._phase_by_group: dict[str, tuple[int, str]] = {}
         self._sent_ms = 0
         self._fleet_ms = 0
-        self._checked_ms = 0
         self._looked_ms = -CLAIM_RETRY_MS
         self._look_pause_ms = CLAIM_RETRY_MS
         self._backoff = coordination.Backoff(
@@ -199,15 +198,11 @@
     def _follow_term(self, now_ms: clock.Millis) -> None:
         if self._looking is not None and not self._looking.done():
             return
-        if self.is_holder:
-            due = now_ms - self._checked_ms >= CHECK_TERM_MS
-        else:
-            due = (
-                self._election.should_look(now_ms)
-                and now_ms - self._looked_ms >= self._look_pause_ms
-            )
-        if due:
-            self._checked_ms = self._looked_ms = now_ms
+        pause_ms = CHECK_TERM_MS if self.is_holder else self._look_pause_ms
+        if now_ms - self._looked_ms < pause_ms:
+            return
+        if self.is_holder or self._election.should_look(now_ms):
+            self._looked_ms = now_ms
             loop = asyncio.get_running_loop()
             self._looking = loop.create_task(self._look())
 
--- a/packages/node/src/quetzalward_node/peers/_channels.py
+++ b/packages/node/src/quetzalward_node/peers/_channels.py
@@ -101,10 +101,7 @@
         nonce = _auth.new_nonce()
         sent = self._auth.request_metadata(method, peer.name, nonce, body)
         try:
-            stub = self._channel(peer.address).unary_unary(
-                method_path(method), _unchanged, _unchanged
-            )
-            answer, call = stub.with_call(
+            answer, call = self._stub(peer, method).with_call(
                 body,
                 timeout=timeout_ms / clocks.MILLIS_PER_SECOND,
                 metadata=sent,
@@ -133,10 +130,7 @@
         nonce = _auth.new_nonce()
         sent = self._auth.request_metadata(method, peer.name, nonce, body)
         try:
-            stub = self._channel(peer.address).unary_unary(
-                method_path(method), _unchanged, _unchanged
-            )
-            call = stub.future(
+            call = self._stub(peer, method).future(
                 body,
                 timeout=timeout_ms / clocks.MILLIS_PER_SECOND,
                 metadata=sent,
@@ -153,6 +147,14 @@
 
         call.add_done_callback(check)
 
+    def _stub(
+        self, peer: Peer, method: str
+    ) -> "grpc.UnaryUnaryMultiCallable[bytes, bytes]":
+        """Return a method's callable; raises `OSError` or `ValueError`."""
+        return self._channel(peer.address).unary_unary(
+            method_path(method), _unchanged, _unchanged
+        )
+
     def _channel(self, address: str) -> grpc.Channel:
         """Return an open channel, made with the present key files."""
         changed = keys_changed(self._tls)
--- a/packages/standins/src/quetzalward_standins/platform/_http.py
+++ b/packages/standins/src/quetzalward_standins/platform/_http.py
@@ -8,6 +8,8 @@
 import attrs
 import h11
 
+from quetzalward_standins.platform import _listener
+
 RECEIVE_BYTES = 65_536
 
 
@@ -87,29 +89,13 @@
 ]
 
 
-class Server:
+class Server(_listener.Listener):
     """Serves one address until closed."""
 
     def __init__(self, handler: Handler) -> None:
         """Hand each request to a handler."""
+        super().__init__()
         self._handler = handler
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self, port: int = 0) -> int:
-        """Listen on loopback; return the port."""
-        self._server = await asyncio.start_server(
-            self._connected, "127.0.0.1", port
-        )
-        address: tuple[str, int] = self._server.sockets[0].getsockname()
-        return address[1]
-
-    def close(self) -> None:
-        """Stop listening and reset all connections."""
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
 
     async def _connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/packages/standins/src/quetzalward_standins/platform/_proxy.py
+++ b/packages/standins/src/quetzalward_standins/platform/_proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import enum
 
+from quetzalward_standins.platform import _listener
+
 RECEIVE_BYTES = 65_536
 
 
@@ -19,38 +21,21 @@
     ONE_WAY = "one_way"
 
 
-class Proxy:
+class Proxy(_listener.Listener):
     """Passes connections on to a port, as its mode says."""
 
     def __init__(self, port: int, delay_s: float = 0.15) -> None:
         """Pass on to a port of loopback."""
+        super().__init__()
         self.mode = ProxyMode.PASS
         self._target_port = port
         self._delay_s = delay_s
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self) -> int:
-        """Listen; return the port."""
-        self._server = await asyncio.start_server(
-            self._connected, "127.0.0.1", 0
-        )
-        address: tuple[str, int] = self._server.sockets[0].getsockname()
-        return address[1]
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Change what happens, also to open connections."""
         self.mode = mode
         if mode is ProxyMode.RESET:
-            for writer in list(self._writers):
-                writer.transport.abort()
-
-    def close(self) -> None:
-        """Stop listening and reset all connections."""
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
+            self._reset_all()
 
     async def _connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
