Bound the reads of two log tests; end the mutation tool with its total

Cause: with the fault "uncertain append treated as not appended" the test test_an_outage_leaves_the_outcome_unknown reads the log in a loop for an entry that is never appended, so it hangs, and the tool ended on its time-out without a total. Change: both loops that read until an offset fail after WAIT_TIMEOUT_MS; the tool counts a hanging test as caught by time-out, under that name, and goes on to its total.

--- a/packages/node/tests/test_log_control.py
+++ b/packages/node/tests/test_log_control.py
@@ -63,6 +63,23 @@
     def deadline_ms(self) -> int:
         return self.clock.now_ms() + WAIT_TIMEOUT_MS
 
+    def read_until(
+        self,
+        task: _stream.StreamTask[agreement.ControlState],
+        next_offset: int,
+    ) -> None:
+        """Read the log until a task has applied the entries before an offset.
+
+        Fails if they do not appear, for example because a batch that has to
+        be retried was given up.
+        """
+        deadline_ms = self.deadline_ms()
+        while task.reader.fold.next_offset < next_offset:
+            self.assertLess(
+                self.clock.now_ms(), deadline_ms, "entry was not read"
+            )
+            task.reader.step()
+
     def wait_until(self, condition: typing.Callable[[], bool]) -> None:
         """Wait until another thread makes a condition true."""
         deadline_ms = self.deadline_ms()
@@ -171,8 +188,7 @@
         self.assertIs(kind, errors.ErrorKind.OUTCOME_UNKNOWN)
         # The batch is retried until read back, even after its waiter gave up.
         self.log.set_unavailable(False)
-        while task.reader.fold.next_offset == 0:
-            task.reader.step()
+        self.read_until(task, 1)
         thread.join()
         self.assertIsNotNone(request.results)
 
@@ -249,8 +265,7 @@
         other.wait_for(1, self.deadline_ms())
         self.assertTrue(other.task.snapshots.write(threading.Event()))
         self.log.expire(CONTROL, 1)
-        while task.reader.fold.next_offset < 2:
-            task.reader.step()
+        self.read_until(task, 2)
         thread.join()
         with self.assertRaises(errors.QuetzalwardError) as caught:
             task.appender.wait(request)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -6,6 +6,7 @@
 """
 
 import concurrent.futures
+import enum
 import json
 import os
 import pathlib
@@ -30,6 +31,15 @@
 Mutant = dict[str, str]
 
 
+class Verdict(enum.Enum):
+    """Result of a test; without a fault only `PASSED` is good."""
+
+    PASSED = "MISSED"
+    FAILED = "caught"
+    # CI would end such a run as failed, so the fault does not go unnoticed.
+    TIMED_OUT = "caught by time-out"
+
+
 def copy_packages(folder: pathlib.Path) -> None:
     """Copy the packages to a folder, without caches and build metadata."""
     shutil.copytree(
@@ -39,8 +49,8 @@
     )
 
 
-def test_passes(folder: pathlib.Path, package: str, test: str) -> bool:
-    """Run one test, given by its id, on a copy; return whether it passes."""
+def run_test(folder: pathlib.Path, package: str, test: str) -> Verdict:
+    """Run one test, given by its id, on a copy."""
     sources = sorted(folder.glob("packages/*/src"))
     environment = {
         **os.environ,
@@ -49,20 +59,21 @@
         "QUETZALWARD_FUZZ_SHRINK": "0",
     }
     tests = str(folder / "packages" / package / "tests")
-    # A test that hangs does not show that it detects the fault, so a time-out
-    # aborts the whole run.
-    process = subprocess.run(
-        [sys.executable, "-c", RUN_TEST_SCRIPT, tests, test],
-        cwd=folder,
-        env=environment,
-        capture_output=True,
-        timeout=TEST_TIMEOUT_S,
-    )
-    return process.returncode == 0
+    try:
+        process = subprocess.run(
+            [sys.executable, "-c", RUN_TEST_SCRIPT, tests, test],
+            cwd=folder,
+            env=environment,
+            capture_output=True,
+            timeout=TEST_TIMEOUT_S,
+        )
+    except subprocess.TimeoutExpired:
+        return Verdict.TIMED_OUT
+    return Verdict.PASSED if process.returncode == 0 else Verdict.FAILED
 
 
-def run_mutant(mutant: Mutant) -> bool:
-    """Return whether the mutant's test fails on the mutated copy.
+def run_mutant(mutant: Mutant) -> Verdict:
+    """Run the mutant's test on the mutated copy.
 
     Raises `ValueError` unless the file has the original text exactly once.
     """
@@ -79,20 +90,20 @@
         # Any test would catch a mutant that does not compile.
         compile(mutated, mutant["file"], "exec")
         path.write_text(mutated)
-        return not test_passes(folder, mutant["package"], mutant["test"])
+        return run_test(folder, mutant["package"], mutant["test"])
 
 
 def check_mutants(mutants: list[Mutant]) -> int:
     """Run all mutants, print each result and return how many were missed."""
     missed_count = 0
     with concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL_MUTANTS) as pool:
-        for mutant, caught in zip(
+        for mutant, verdict in zip(
             mutants, pool.map(run_mutant, mutants), strict=True
         ):
-            missed_count += not caught
-            verdict = "caught" if caught else "MISSED"
+            missed_count += verdict is Verdict.PASSED
             print(
-                f"{verdict}  {mutant['name']}  ({mutant['test']})", flush=True
+                f"{verdict.value}  {mutant['name']}  ({mutant['test']})",
+                flush=True,
             )
     return missed_count
 
@@ -106,7 +117,7 @@
         failing = sorted(
             test
             for package, test in {(m["package"], m["test"]) for m in mutants}
-            if not test_passes(folder, package, test)
+            if run_test(folder, package, test) is not Verdict.PASSED
         )
     for test in failing:
         print(f"fails without any fault: {test}")
