Relay the store to all nodes within bounds that do not grow with their number

The holder's messages came every 975 ms, and nodes take a holder for failed after 1,000 ms: 15 terms in 45 s. Each takeover made all nodes read three topics. Records were relayed for 1,500 ms, which is one lost message. A node took 1.5 s without a message for an outage of the store and deferred removals by 2 s; with the limit of 1,700 ms (64 nodes) a target that had left got requests after more than 3,000 ms.

Change: the holder writes to each node at least every 200 ms, by a short relay between two views. Limits on the age of relayed state are derived from the bounds of the deployment (RelayTiming), so that the node's own read ends in time if no message arrives. Nodes acknowledge the offsets and the group list that they have; only what is missing is sent. The age of a message is bounded by the relation of both clocks (PeerClock) instead of the last echo alone. Views list addresses of the nodes in turns, so that a new holder announces itself and nobody reads the term. Only a failed call shows an outage; the holder relays for how long it defers removals. Messages are checked field by field when they are decoded. _sync and _coordinator_task are split by task.

--- a/packages/core/src/quetzalward_core/coordination/__init__.py
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -3,13 +3,17 @@
 from quetzalward_core.coordination._backoff import Backoff
 from quetzalward_core.coordination._election import Election
 from quetzalward_core.coordination._election import LOW_CAPACITY_DELAY_MS
-from quetzalward_core.coordination._election import MAX_STAGGER_MS
 from quetzalward_core.coordination._election import Term
 from quetzalward_core.coordination._messages import decode
 from quetzalward_core.coordination._messages import encode
 from quetzalward_core.coordination._messages import GroupEntry
+from quetzalward_core.coordination._messages import GroupList
+from quetzalward_core.coordination._messages import GroupLoadRow
 from quetzalward_core.coordination._messages import GroupWork
+from quetzalward_core.coordination._messages import Known
+from quetzalward_core.coordination._messages import Message
 from quetzalward_core.coordination._messages import Outcome
+from quetzalward_core.coordination._messages import Relay
 from quetzalward_core.coordination._messages import RelayedRecord
 from quetzalward_core.coordination._messages import split_echo
 from quetzalward_core.coordination._messages import Status
@@ -17,15 +21,33 @@
 from quetzalward_core.coordination._messages import TopicView
 from quetzalward_core.coordination._messages import View
 from quetzalward_core.coordination._messages import with_echo
+from quetzalward_core.coordination._peer_addresses import PeerAddresses
+from quetzalward_core.coordination._peer_clock import PeerClock
+from quetzalward_core.coordination._relay_buffer import MAX_RELAY_BYTES
+from quetzalward_core.coordination._relay_buffer import RelayBuffer
+from quetzalward_core.coordination._timing import message_interval_ms
+from quetzalward_core.coordination._timing import RELAY_CHECK_INTERVAL_MS
+from quetzalward_core.coordination._timing import relay_interval_ms
+from quetzalward_core.coordination._timing import RelayTiming
 
 __all__ = [
     "Backoff",
     "Election",
     "GroupEntry",
+    "GroupList",
+    "GroupLoadRow",
     "GroupWork",
+    "Known",
     "LOW_CAPACITY_DELAY_MS",
-    "MAX_STAGGER_MS",
+    "MAX_RELAY_BYTES",
+    "Message",
     "Outcome",
+    "PeerAddresses",
+    "PeerClock",
+    "RELAY_CHECK_INTERVAL_MS",
+    "Relay",
+    "RelayBuffer",
+    "RelayTiming",
     "RelayedRecord",
     "Status",
     "StoreView",
@@ -34,6 +56,8 @@
     "View",
     "decode",
     "encode",
+    "message_interval_ms",
+    "relay_interval_ms",
     "split_echo",
     "with_echo",
 ]
--- a/packages/core/src/quetzalward_core/coordination/_election.py
+++ b/packages/core/src/quetzalward_core/coordination/_election.py
@@ -12,10 +12,14 @@
 from quetzalward_core import clock
 
 # A holder or peer counts as silent after this time without a message. The
-# holder sends one every 150 to 600 ms; three missed ones are silence.
+# holder sends one every 150 to 200 ms; five missed ones are silence.
 MESSAGE_TIMEOUT_MS = 1_000
-# Nodes read the store at staggered times, so that claims seldom collide.
+# Nodes read the store at staggered times, so that claims seldom collide and
+# the first claimant's messages arrive before most others read. With more
+# nodes than `STAGGERED_NODES` the range grows in proportion, so that the first
+# of them still reads after about the same time.
 MAX_STAGGER_MS = 500
+STAGGERED_NODES = 30
 # Nodes of low capacity wait longer, so that they coordinate only if no other
 # node claims the term.
 LOW_CAPACITY_DELAY_MS = 700
@@ -48,8 +52,12 @@
     """Tracks the current term and decides when to claim the next one."""
 
     node: str
-    stagger_ms: clock.Millis
+    # Position of this node in the range of staggered times, 0 to 1.
+    stagger_share: float
+    # Time that is added for a node of low capacity.
+    delay_ms: clock.Millis = 0
     started_ms: clock.Millis = 0
+    node_count: int = 1
     term: Term | None = None
     _holder_message_ms: clock.Millis | None = None
     _term_learned_ms: clock.Millis | None = None
@@ -58,6 +66,12 @@
     # Since when the holder has not read the store successfully.
     _store_stale_since_ms: clock.Millis | None = None
 
+    @property
+    def stagger_ms(self) -> clock.Millis:
+        """Return the time by which this node reads later than due."""
+        range_ms = MAX_STAGGER_MS * max(1.0, self.node_count / STAGGERED_NODES)
+        return self.delay_ms + round(self.stagger_share * range_ms)
+
     @property
     def is_holder(self) -> bool:
         """Tell whether this node holds the latest term that it knows of."""
--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -1,9 +1,11 @@
-"""Messages between nodes: a node's status and the coordinator's view.
+"""Messages between nodes: a node's status, the coordinator's view and relay.
 
 Messages are JSON arrays in datagrams. Each replaces the one before, so a lost
-one is not repeated, and one that cannot be decoded is discarded whole.
+one is not repeated, and one that cannot be decoded is discarded whole. What a
+node has acknowledged in its status is left out of the messages to it.
 """
 
+import collections.abc
 import json
 import typing
 import zlib
@@ -40,6 +42,17 @@
     mean_latency_ms: float
 
 
+@attrs.frozen
+class Known:
+    """State of the holder's that a node has already applied."""
+
+    # Term and version of the group list; -1 if there is none.
+    term: int = -1
+    groups_version: int = -1
+    operations_offset: int = -1
+    targets_offset: int = -1
+
+
 @attrs.frozen
 class Status:
     """Message from a node to the coordinator."""
@@ -53,6 +66,9 @@
     outcomes: tuple[Outcome, ...]
     # Targets that a response named as the cause of a failure.
     suspects: tuple[str, ...]
+    # What the sender has received: the version of the group list, and the
+    # offsets up to which it has applied both topics.
+    known: Known = Known()
 
 
 @attrs.frozen
@@ -77,11 +93,12 @@
 
 @attrs.frozen
 class TopicView:
-    """The coordinator's last read of a topic, and its age."""
+    """Records of a topic, and the age of the proof that none is missing."""
 
+    # Offset up to which the records reach.
     end: int
+    # Time since the topic ended at `end`.
     age_ms: int
-    # The most recent records, up to `end`.
     records: tuple[RelayedRecord, ...]
 
 
@@ -91,24 +108,70 @@
 
     operations: TopicView
     targets: TopicView
+    # Time for which removals of targets are still deferred after an outage of
+    # the store.
+    removal_deferral_ms: int = 0
+
+
+@attrs.frozen
+class Relay:
+    """Message from the coordinator to every node between two views."""
+
+    node: str
+    term: int
+    address: str
+    # The sender's clock.
+    sent_ms: int
+    store: StoreView | None
+
+
+@attrs.frozen
+class GroupList:
+    """Groups that have requests or accept them."""
+
+    # Counts the changes of the list within a term.
+    version: int
+    open: tuple[GroupEntry, ...]
+    # Groups that finish running work and accept no more, by name and epoch.
+    closing: tuple[tuple[str, int], ...]
+
+    def keys(self) -> list[tuple[str, int]]:
+        """Return name and epoch of all groups, in a fixed order."""
+        return [(g.name, g.epoch) for g in self.open] + list(self.closing)
+
+
+@attrs.frozen
+class GroupLoadRow:
+    """Work of all nodes at a group."""
+
+    # Index of the group in `GroupList.keys`.
+    position: int
+    active: float
+    pending_prefill_tokens: int
+    # Time since the last event of any stream; -1 if there was none.
+    event_age_ms: int
+    slowness: float
 
 
 @attrs.frozen
 class View:
-    """Message from the coordinator to every node."""
+    """Message from the coordinator to every node: groups and their load."""
 
     node: str
     term: int
     address: str
+    sent_ms: int
     nodes: int
-    # Whether `groups` and `closing` list all groups that have requests or
-    # accept them.
+    # Whether the group list has all groups.
     complete: bool
-    groups: tuple[GroupEntry, ...]
-    # Groups that finish running work and accept no more, by name and epoch.
-    closing: tuple[tuple[str, int], ...]
-    work: tuple[GroupWork, ...]
+    groups_version: int
+    # `None` if the receiver has this version already.
+    groups: GroupList | None
+    load: tuple[GroupLoadRow, ...]
     outcomes: tuple[Outcome, ...]
+    # Addresses of some of the nodes, which change from view to view. The next
+    # holder sends its first messages to them.
+    peers: tuple[str, ...] = ()
     store: StoreView | None = None
 
 
@@ -116,6 +179,8 @@
 # networks.
 MAX_UNCOMPRESSED_BYTES = 1_200
 MAX_DECOMPRESSED_BYTES = 1_000_000
+# A message is compressed once and sent to all nodes.
+COMPRESSION_LEVEL = 6
 
 # Ends the echoed clock. Neither JSON nor compressed data begins with digits
 # and this separator.
@@ -123,22 +188,32 @@
 
 _STATUS = "status"
 _VIEW = "view"
+_RELAY = "relay"
+_KIND_BY_TYPE: dict[type, str] = {Status: _STATUS, View: _VIEW, Relay: _RELAY}
 
+Message = Status | View | Relay
 
-def encode(message: Status | View) -> bytes:
+
+def encode(message: Message) -> bytes:
     """Return a message as a datagram, compressed if it is long."""
-    kind = _STATUS if isinstance(message, Status) else _VIEW
+    kind = _KIND_BY_TYPE[type(message)]
     row = attrs.astuple(message)
     data = json.dumps([kind, *row], separators=(",", ":")).encode()
     if len(data) > MAX_UNCOMPRESSED_BYTES:
-        return zlib.compress(data, level=1)
+        return zlib.compress(data, level=COMPRESSION_LEVEL)
     return data
 
 
-def _store_view(row: list[typing.Any]) -> StoreView:
-    """Return the decoded store part of a view."""
-    operations, targets = row
-    return StoreView(_topic_view(operations), _topic_view(targets))
+def _store_view(row: list[typing.Any] | None) -> StoreView | None:
+    """Return the decoded store part of a message."""
+    if row is None:
+        return None
+    operations, targets, removal_deferral_ms = row
+    return StoreView(
+        _topic_view(operations),
+        _topic_view(targets),
+        int(removal_deferral_ms),
+    )
 
 
 def _topic_view(row: list[typing.Any]) -> TopicView:
@@ -146,7 +221,7 @@
     return TopicView(
         int(end),
         int(age_ms),
-        tuple(RelayedRecord(*item) for item in records),
+        tuple(_relayed_record(*item) for item in records),
     )
 
 
@@ -177,49 +252,157 @@
         raise ValueError(str(error)) from error
 
 
-def decode(datagram: bytes) -> Status | View:
+def decode(datagram: bytes) -> Message:
     """Return the message in a datagram.
 
     Raises `ValueError` if it contains none.
     """
     try:
         kind, *row = json.loads(_decompress(datagram))
-        if kind == _STATUS:
-            node, term, sent_ms, requests, work, outcomes, suspects = row
-            return Status(
-                str(node),
-                int(term),
-                int(sent_ms),
-                int(requests),
-                tuple(GroupWork(*item) for item in work),
-                tuple(Outcome(*item) for item in outcomes),
-                tuple(str(item) for item in suspects),
-            )
-        if kind == _VIEW:
-            (
-                node,
-                term,
-                address,
-                nodes,
-                complete,
-                groups,
-                closing,
-                work,
-                outcomes,
-                store,
-            ) = row
-            return View(
-                str(node),
-                int(term),
-                str(address),
-                int(nodes),
-                bool(complete),
-                tuple(GroupEntry(*item) for item in groups),
-                tuple((str(name), int(epoch)) for name, epoch in closing),
-                tuple(GroupWork(*item) for item in work),
-                tuple(Outcome(*item) for item in outcomes),
-                None if store is None else _store_view(store),
-            )
-    except (TypeError, ValueError) as error:
+        decode_row = _DECODER_BY_KIND.get(kind)
+        if decode_row is not None:
+            return decode_row(row)
+    except (TypeError, ValueError, OverflowError, RecursionError) as error:
         raise ValueError(f"datagram cannot be decoded: {error}") from error
     raise ValueError(f"unknown kind of message {kind!r}")
+
+
+def _status(row: list[typing.Any]) -> Status:
+    node, term, sent_ms, requests, work, outcomes, suspects, known = row
+    return Status(
+        str(node),
+        int(term),
+        int(sent_ms),
+        int(requests),
+        tuple(_group_work(*item) for item in work),
+        tuple(_outcome(*item) for item in outcomes),
+        tuple(str(item) for item in suspects),
+        Known(*(int(item) for item in known)),
+    )
+
+
+def _relay(row: list[typing.Any]) -> Relay:
+    node, term, address, sent_ms, store = row
+    return Relay(
+        str(node),
+        int(term),
+        _address(address),
+        int(sent_ms),
+        _store_view(store),
+    )
+
+
+def _view(row: list[typing.Any]) -> View:
+    (
+        node,
+        term,
+        address,
+        sent_ms,
+        nodes,
+        complete,
+        groups_version,
+        groups,
+        load,
+        outcomes,
+        peers,
+        store,
+    ) = row
+    return View(
+        str(node),
+        int(term),
+        _address(address),
+        int(sent_ms),
+        int(nodes),
+        bool(complete),
+        int(groups_version),
+        None if groups is None else _group_list(groups),
+        tuple(_group_load(*item) for item in load),
+        tuple(_outcome(*item) for item in outcomes),
+        tuple(_address(item) for item in peers),
+        _store_view(store),
+    )
+
+
+def _address(text: typing.Any) -> str:
+    """Return an address; raises `ValueError` if it is not HOST:PORT."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{text!r} is not an address")
+    return str(text)
+
+
+def _group_work(
+    group: typing.Any,
+    epoch: typing.Any,
+    active: typing.Any,
+    pending_prefill_tokens: typing.Any,
+    event_age_ms: typing.Any,
+    stalled: typing.Any,
+    slowness: typing.Any,
+    gap_count: typing.Any,
+) -> GroupWork:
+    return GroupWork(
+        str(group),
+        int(epoch),
+        float(active),
+        float(pending_prefill_tokens),
+        int(event_age_ms),
+        bool(stalled),
+        float(slowness),
+        int(gap_count),
+    )
+
+
+def _outcome(
+    target_id: typing.Any,
+    answered: typing.Any,
+    failed: typing.Any,
+    mean_latency_ms: typing.Any,
+) -> Outcome:
+    return Outcome(
+        str(target_id), int(answered), int(failed), float(mean_latency_ms)
+    )
+
+
+def _group_load(
+    position: typing.Any,
+    active: typing.Any,
+    pending_prefill_tokens: typing.Any,
+    event_age_ms: typing.Any,
+    slowness: typing.Any,
+) -> GroupLoadRow:
+    return GroupLoadRow(
+        int(position),
+        float(active),
+        int(pending_prefill_tokens),
+        int(event_age_ms),
+        float(slowness),
+    )
+
+
+def _group_entry(
+    name: typing.Any, epoch: typing.Any, model: typing.Any, head: typing.Any
+) -> GroupEntry:
+    return GroupEntry(str(name), int(epoch), str(model), str(head))
+
+
+def _relayed_record(
+    offset: typing.Any, key: typing.Any, value: typing.Any
+) -> RelayedRecord:
+    return RelayedRecord(
+        int(offset), str(key), None if value is None else str(value)
+    )
+
+
+def _group_list(row: list[typing.Any]) -> GroupList:
+    version, entries, closing = row
+    return GroupList(
+        int(version),
+        tuple(_group_entry(*item) for item in entries),
+        tuple((str(name), int(epoch)) for name, epoch in closing),
+    )
+
+
+_DECODER_BY_KIND: dict[
+    str, collections.abc.Callable[[list[typing.Any]], Message]
+] = {_STATUS: _status, _RELAY: _relay, _VIEW: _view}
--- a/packages/core/src/quetzalward_core/fleet/_directory.py
+++ b/packages/core/src/quetzalward_core/fleet/_directory.py
@@ -34,21 +34,50 @@
         self.complete = False
 
     def record_contact(
-        self, sent_ms: clock.Millis, now_ms: clock.Millis
+        self,
+        sent_ms: clock.Millis,
+        now_ms: clock.Millis,
+        after_relay: bool = False,
     ) -> None:
         """Record the store's answer to a call sent at `sent_ms`.
 
         A call that waits for a change may take seconds. Only time that no
-        answered call covers counts as an outage.
+        answered call covers counts as an outage. With `after_relay`, the call
+        is the first one since another node's reads were relayed to this one:
+        the time before it shows that messages were lost, not an outage.
         """
         last_contact_ms = self._last_contact_ms
         if (
             last_contact_ms is not None
+            and not after_relay
             and sent_ms - last_contact_ms >= MIN_OUTAGE_MS
         ):
             self._removals_trusted_from_ms = now_ms + RETURN_GRACE_MS
         self._last_contact_ms = now_ms
 
+    def record_relay(
+        self,
+        confirmed_ms: clock.Millis,
+        deferral_ms: clock.Millis,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Record the relayed read of another node, answered at `confirmed_ms`.
+
+        That node defers removals for `deferral_ms` more, because its reads
+        show an outage of the store.
+        """
+        if self._last_contact_ms is None:
+            self._last_contact_ms = confirmed_ms
+        self._last_contact_ms = max(self._last_contact_ms, confirmed_ms)
+        if deferral_ms > 0:
+            self._removals_trusted_from_ms = max(
+                self._removals_trusted_from_ms, now_ms + deferral_ms
+            )
+
+    def removal_deferral_ms(self, now_ms: clock.Millis) -> clock.Millis:
+        """Return the time for which removals are still deferred."""
+        return max(0, self._removals_trusted_from_ms - now_ms)
+
     def put(self, target: _model.Target, now_ms: clock.Millis) -> None:
         """Add an entry; it replaces the one of the same id."""
         self._expired_ms_by_id.pop(target.id, None)
--- a/packages/core/src/quetzalward_core/fleet/_freshness.py
+++ b/packages/core/src/quetzalward_core/fleet/_freshness.py
@@ -43,11 +43,17 @@
             return True
         return age <= self.revoke_ms - REVOKE_MARGIN_MS
 
+    @property
+    def ready_max_age_ms(self) -> clock.Millis | None:
+        """Return the age from which a node is not ready; `None`: no limit."""
+        if self.revoke_ms is None:
+            return None
+        return round(self.revoke_ms * READY_SHARE)
+
     def is_ready(self, now_ms: clock.Millis) -> bool:
         """Tell whether this node should receive new callers."""
         age = self.age_ms(now_ms)
         if age is None:
             return False
-        if self.revoke_ms is None:
-            return True
-        return age <= self.revoke_ms * READY_SHARE
+        max_age_ms = self.ready_max_age_ms
+        return max_age_ms is None or age <= max_age_ms
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -1,8 +1,11 @@
 """Tests for the coordinator's election and the nodes' messages."""
 
+import json
 import random
 import unittest
 
+import attrs
+from coordination import builders
 import hypothesis
 from hypothesis import strategies as st
 
@@ -45,7 +48,9 @@
     def test_first_node_takes_the_duty(self) -> None:
         """An empty topic is claimed at once, by one node only."""
         store = _Store()
-        nodes = [coordination.Election(n, i) for i, n in enumerate("abc")]
+        nodes = [
+            coordination.Election(n, i / 500) for i, n in enumerate("abc")
+        ]
         for node in nodes:
             read_and_claim(node, store, 0)
         self.assertEqual(1, sum(node.is_holder for node in nodes))
@@ -55,7 +60,7 @@
         store = _Store()
         first = coordination.Election("a", 0)
         read_and_claim(first, store, 0)
-        second = coordination.Election("b", 100)
+        second = coordination.Election("b", 0.2)
         read_and_claim(second, store, 0)
         assert first.term is not None
         second.accept_holder_message(first.term, 100)
@@ -103,7 +108,7 @@
         store = _Store()
         first = coordination.Election("a", 0)
         read_and_claim(first, store, 0)
-        second = coordination.Election("b", 100)
+        second = coordination.Election("b", 0.2)
         read_and_claim(second, store, 0)
         assert first.term is not None
         for now_ms in range(0, 3_000, 150):
@@ -121,7 +126,7 @@
         """Terms are unique and the store's last claim decides."""
         rng = random.Random(7)
         store = _Store()
-        nodes = [coordination.Election(n, 10 * i) for i, n in enumerate("abc")]
+        nodes = [coordination.Election(n, i / 50) for i, n in enumerate("abc")]
         claims: dict[int, str] = {}
         for now_ms in range(0, 60_000, 50):
             node = rng.choice(nodes)
@@ -161,39 +166,59 @@
 class MessageTest(unittest.TestCase):
     """Guards against messages that crash the node that reads them."""
 
-    def test_view_survives_the_wire(self) -> None:
-        """Decoding an encoded view returns an equal view."""
-        view = coordination.View(
-            "a",
-            3,
-            "a:1",
-            7,
-            True,
-            (coordination.GroupEntry("g", 1, "m", "t"),),
-            (("h", 4),),
-            (coordination.GroupWork("g", 1, 2.0, 30.0, 5, False),),
-            (coordination.Outcome("t", 3, 1, 20.0),),
-            coordination.StoreView(
-                coordination.TopicView(4, 100, ()),
-                coordination.TopicView(
-                    9, 50, (coordination.RelayedRecord(8, "t", None),)
-                ),
+    def test_messages_survive_the_wire(self) -> None:
+        """Decoding an encoded message returns an equal one."""
+        store = coordination.StoreView(
+            coordination.TopicView(4, 100, ()),
+            coordination.TopicView(
+                9, 50, (coordination.RelayedRecord(8, "t", None),)
             ),
+            700,
         )
-        self.assertEqual(view, coordination.decode(coordination.encode(view)))
+        for message in (
+            attrs.evolve(builders.view(), store=store),
+            attrs.evolve(builders.view(), groups=None),
+            coordination.Relay("a", 3, "a:1", 5_000, store),
+            builders.status(),
+        ):
+            data = coordination.encode(message)
+            self.assertEqual(message, coordination.decode(data))
 
     def test_echo_is_split_from_any_view(self) -> None:
         """The echoed clock is split from plain and compressed views."""
         for groups in (0, 300):
-            entry = coordination.GroupEntry("g", 1, "m", "t")
-            view = coordination.View(
-                "a", 3, "a", 7, True, (entry,) * groups, (), (), ()
-            )
-            data = coordination.encode(view)
+            data = coordination.encode(builders.view(groups))
             self.assertEqual((None, data), coordination.split_echo(data))
             echoed = coordination.with_echo(data, 123)
             self.assertEqual((123, data), coordination.split_echo(echoed))
 
+    def test_address_that_cannot_be_written_to_is_refused(self) -> None:
+        """A holder's address is used for every later status."""
+        for address in ("a", "a:b", ":1", ""):
+            relay = coordination.Relay("a", 3, address, 0, None)
+            with self.assertRaises(ValueError):
+                coordination.decode(coordination.encode(relay))
+
+    def test_fields_of_a_wrong_type_are_refused(self) -> None:
+        """Such a value would fail later, where it ends the process."""
+        for value in ("x", None, [], {}, 1e400):
+            row = ["view", "a", 3, "a:1", 0, 7, True, 1, None]
+            for field, load in (
+                (value, []),
+                (1, [[value, 1, 1, 1, 1]]),
+                (1, [[0, 1, 1, value, 1]]),
+            ):
+                data = json.dumps(
+                    [*row[:2], field, *row[3:], load, [], [], None]
+                )
+                with self.assertRaises(ValueError):
+                    coordination.decode(data.encode())
+
+    def test_nested_message_is_refused(self) -> None:
+        """Deeply nested JSON must not end in another error."""
+        with self.assertRaises(ValueError):
+            coordination.decode(b"[" * 50_000)
+
     @hypothesis.given(st.binary(max_size=80))
     def test_any_datagram_is_refused_or_read(self, data: bytes) -> None:
         """Bytes that are not a message raise only `ValueError`."""
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -9,13 +9,14 @@
 from quetzalward_gateway import _exchange
 from quetzalward_gateway import _log
 from quetzalward_gateway import _metrics
+from quetzalward_gateway import _operations
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _server
 from quetzalward_gateway import _settings
 from quetzalward_gateway import _state
 from quetzalward_gateway import _status_server
-from quetzalward_gateway import _sync
+from quetzalward_gateway import _target_entries
 
 # Time within which the load balancer has seen two failed readiness checks and
 # stops sending new connections.
@@ -45,10 +46,12 @@
         )
         self._readiness = _status_server.StatusServer(self._readiness_answer)
         self._metrics = _status_server.StatusServer(self._metrics_answer)
-        self._operations = _sync.OperationsFollower(
+        self._operations = _operations.OperationsFollower(
+            self.runtime, self._is_holder
+        )
+        self._targets = _target_entries.TargetsFollower(
             self.runtime, self._is_holder
         )
-        self._targets = _sync.TargetsFollower(self.runtime, self._is_holder)
         self._coordinator = _coordinator_task.CoordinatorTask(
             self.runtime, settings, self._operations, self._targets
         )
--- /dev/null
+++ b/packages/gateway/src/quetzalward_gateway/_group_control.py
@@ -0,0 +1,178 @@
+"""Runs the coordinators of the serving groups during a term."""
+
+from quetzalward_core import clock
+from quetzalward_core import coordination
+from quetzalward_core import grouping
+from quetzalward_gateway import _commands
+from quetzalward_gateway import _node_reports
+from quetzalward_gateway import _runtime
+from quetzalward_gateway import _settings
+
+# A group is not stalled if any node received an event within this time.
+STALL_AGE_MS = 220
+# Interval at which the state of the fleet is logged.
+FLEET_LOG_INTERVAL_MS = 2_000
+
+
+class GroupControl:
+    """Coordinators by service, and the list of groups for the nodes."""
+
+    def __init__(
+        self,
+        runtime: _runtime.Runtime,
+        settings: _settings.Settings,
+        reports: _node_reports.NodeReports,
+    ) -> None:
+        """Use the nodes' reports; no coordinator runs before a term."""
+        self._runtime = runtime
+        self._settings = settings
+        self._reports = reports
+        self._sender = _commands.CommandSender(runtime)
+        self._coordinator_by_service: dict[str, grouping.Coordinator] = {}
+        self._term = 0
+        self._groups = coordination.GroupList(0, (), ())
+        self._logged_phase_by_group: dict[str, tuple[int, str]] = {}
+        self._fleet_logged_ms = 0
+
+    def begin_term(self, term: int) -> None:
+        """Start without coordinators and with an empty group list."""
+        self._term = term
+        self._coordinator_by_service.clear()
+        self._logged_phase_by_group.clear()
+        self._groups = coordination.GroupList(0, (), ())
+
+    def end_term(self) -> None:
+        """Stop coordinating."""
+        self._coordinator_by_service.clear()
+        self._sender.cancel()
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether the group list has all groups."""
+        coordinators = self._coordinator_by_service.values()
+        return bool(coordinators) and all(
+            c.has_adopted_groups for c in coordinators
+        )
+
+    def group_list(self) -> coordination.GroupList:
+        """Return the groups; the version grows with each change."""
+        coordinators = self._coordinator_by_service.values()
+        entries = tuple(
+            coordination.GroupEntry(
+                group.name, group.epoch, group.model, group.head
+            )
+            for coordinator in coordinators
+            for group in coordinator.open_groups()
+        )
+        closing = tuple(
+            (group.name, group.epoch)
+            for coordinator in coordinators
+            for group in coordinator.closing_groups()
+        )
+        known = self._groups
+        if (entries, closing) != (known.open, known.closing):
+            self._groups = coordination.GroupList(
+                known.version + 1, entries, closing
+            )
+        return self._groups
+
+    def run(self, now_ms: clock.Millis) -> None:
+        """Run the coordinator of each service that has an engine."""
+        configuration = self._runtime.state.configuration
+        if configuration is None:
+            return
+        group_work = self._reports.total_work(now_ms)
+        producing = frozenset(
+            (work.group, work.epoch)
+            for work in group_work
+            if 0 <= work.event_age_ms < STALL_AGE_MS
+        )
+        stalled = [
+            work
+            for work in group_work
+            if work.stalled
+            and (work.event_age_ms < 0 or work.event_age_ms >= STALL_AGE_MS)
+        ]
+        suspects = self._reports.suspects()
+        for service in configuration.service_by_name.values():
+            if service.engine is None:
+                continue
+            coordinator = self._get_coordinator(service.name, now_ms)
+            coordinator.configure(service.engine)
+            coordinator.set_producing_groups(producing)
+            if self._reports.has_requests():
+                coordinator.record_traffic()
+            self._update_targets(service.name, coordinator, now_ms)
+            commands: list[grouping.Command] = []
+            for work in stalled:
+                commands += coordinator.handle_stall(
+                    work.group, work.epoch, now_ms
+                )
+            for target_id in suspects & coordinator.host_by_id.keys():
+                commands += coordinator.probe_suspect(target_id, now_ms)
+            commands += coordinator.tick(now_ms)
+            self._log_phases(coordinator)
+            self._log_fleet(service.name, coordinator, now_ms)
+            for command in commands:
+                self._sender.send(coordinator, command)
+
+    def _get_coordinator(
+        self, service: str, now_ms: clock.Millis
+    ) -> grouping.Coordinator:
+        coordinator = self._coordinator_by_service.get(service)
+        if coordinator is None:
+            coordinator = grouping.Coordinator(
+                self._term,
+                now_ms,
+                self._settings.first_start
+                and not self._runtime.state.request_count,
+            )
+            self._coordinator_by_service[service] = coordinator
+        return coordinator
+
+    def _update_targets(
+        self,
+        service: str,
+        coordinator: grouping.Coordinator,
+        now_ms: clock.Millis,
+    ) -> None:
+        present = set()
+        for target in self._runtime.state.directory.of_service(service):
+            present.add(target.id)
+            coordinator.observe(target, now_ms)
+        for target_id in coordinator.host_by_id.keys() - present:
+            coordinator.remove_target(target_id)
+
+    def _log_fleet(
+        self,
+        service: str,
+        coordinator: grouping.Coordinator,
+        now_ms: clock.Millis,
+    ) -> None:
+        if now_ms - self._fleet_logged_ms < FLEET_LOG_INTERVAL_MS:
+            return
+        self._fleet_logged_ms = now_ms
+        self._runtime.log.event(
+            "fleet",
+            service=service,
+            nodes=len(self._reports.by_node),
+            open=len(coordinator.open_groups()),
+            groups=len(coordinator.group_by_name),
+            spares=coordinator.spares_by_domain(),
+        )
+
+    def _log_phases(self, coordinator: grouping.Coordinator) -> None:
+        """Log each group whose phase or epoch has changed."""
+        for group in coordinator.group_by_name.values():
+            phase = (group.epoch, group.phase.value)
+            if self._logged_phase_by_group.get(group.name) == phase:
+                continue
+            self._logged_phase_by_group[group.name] = phase
+            self._runtime.log.event(
+                "group",
+                group=group.name,
+                epoch=group.epoch,
+                phase=group.phase.value,
+                domain=group.domain,
+                members=list(group.members),
+            )
--- a/packages/gateway/src/quetzalward_gateway/_node_reports.py
+++ b/packages/gateway/src/quetzalward_gateway/_node_reports.py
@@ -83,44 +83,45 @@
 
     def total_work(self, now_ms: clock.Millis) -> list[coordination.GroupWork]:
         """Return the work of all nodes, one entry per group and epoch."""
-        total_by_key: dict[_GroupKey, coordination.GroupWork] = {}
+        total_by_key: dict[_GroupKey, _Total] = {}
         for report in self.by_node.values():
             age_ms = now_ms - report.received_ms
             if age_ms > WORK_MAX_AGE_MS:
                 continue
             for work in report.status.work:
                 key = (work.group, work.epoch)
-                aged = _with_age(work, age_ms)
-                known = total_by_key.get(key)
-                if known is None:
-                    slowness = self._slowness_by_group.get(key, 1.0)
-                    total_by_key[key] = attrs.evolve(
-                        aged, slowness=slowness, gap_count=0
-                    )
-                else:
-                    total_by_key[key] = _merged(known, aged)
-        return list(total_by_key.values())
-
-
-def _with_age(
-    work: coordination.GroupWork, age_ms: clock.Millis
-) -> coordination.GroupWork:
-    """Return a node's work with the age of its last event as of now."""
-    if work.event_age_ms < 0:
-        return work
-    return attrs.evolve(work, event_age_ms=work.event_age_ms + age_ms)
-
-
-def _merged(
-    known: coordination.GroupWork, other: coordination.GroupWork
-) -> coordination.GroupWork:
-    """Return the combined work of two nodes at one group."""
-    ages = [a for a in (known.event_age_ms, other.event_age_ms) if a >= 0]
-    return attrs.evolve(
-        known,
-        active=known.active + other.active,
-        pending_prefill_tokens=known.pending_prefill_tokens
-        + other.pending_prefill_tokens,
-        event_age_ms=min(ages) if ages else -1,
-        stalled=known.stalled or other.stalled,
-    )
+                total = total_by_key.get(key)
+                if total is None:
+                    total = total_by_key[key] = _Total()
+                total.add(work, age_ms)
+        return [
+            coordination.GroupWork(
+                *key,
+                total.active,
+                total.pending_prefill_tokens,
+                total.event_age_ms,
+                total.stalled,
+                self._slowness_by_group.get(key, 1.0),
+            )
+            for key, total in total_by_key.items()
+        ]
+
+
+@attrs.define
+class _Total:
+    """Sum of the work of several nodes at one group."""
+
+    active: float = 0.0
+    pending_prefill_tokens: float = 0.0
+    event_age_ms: clock.Millis = -1
+    stalled: bool = False
+
+    def add(self, work: coordination.GroupWork, age_ms: clock.Millis) -> None:
+        """Add the work that a node reported `age_ms` ago."""
+        self.active += work.active
+        self.pending_prefill_tokens += work.pending_prefill_tokens
+        self.stalled = self.stalled or work.stalled
+        if work.event_age_ms >= 0:
+            event_age_ms = work.event_age_ms + age_ms
+            if self.event_age_ms < 0 or event_age_ms < self.event_age_ms:
+                self.event_age_ms = event_age_ms
--- a/packages/gateway/src/quetzalward_gateway/_peers.py
+++ b/packages/gateway/src/quetzalward_gateway/_peers.py
@@ -8,10 +8,9 @@
 from quetzalward_core import fleet
 from quetzalward_gateway import _log
 
-Message = coordination.Status | coordination.View
 # Called with a message, its sender and the clock that a view echoes.
 MessageHandler = collections.abc.Callable[
-    [Message, fleet.Address, int | None], None
+    [coordination.Message, fleet.Address, int | None], None
 ]
 
 
--- a/packages/gateway/src/quetzalward_gateway/_settings.py
+++ b/packages/gateway/src/quetzalward_gateway/_settings.py
@@ -23,6 +23,12 @@
     # the ratio, plus the slack.
     cold_ratio: float = 1.0
     cold_slack: float = 0.0
+    # Time from an entry's change in the store until no request is sent to a
+    # target that leaves, until a configuration is in force on all nodes, and
+    # until no request is sent to an evacuated zone.
+    departure_ms: clock.Millis = 2_000
+    configuration_ms: clock.Millis = 2_000
+    evacuation_ms: clock.Millis = 5_000
 
 
 @attrs.frozen
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -16,11 +16,6 @@
 # Without a view from the coordinator for this long, the entries of the targets
 # in the store determine which groups are open.
 VIEW_MAX_AGE_MS = 2_500
-# Interval between the messages of a node. With more nodes than the maximum it
-# grows in proportion, which bounds the coordinator's processor time and
-# traffic.
-MESSAGE_INTERVAL_MS = 150
-MAX_NODES_AT_FULL_RATE = 30
 # One-way network latency between zones, for the choice of a group.
 CROSS_ZONE_LATENCY_MS = 1.5
 
@@ -72,16 +67,27 @@
         self.cold_start_budget = placing.ColdStartBudget()
         self._retry_budget_by_service: dict[str, placing.RetryBudget] = {}
         self.load_by_group: dict[GroupKey, placing.GroupLoad] = {}
-        self._view: coordination.View | None = None
+        # The holder's group list, the term that numbers its versions, and the
+        # time of the last view that confirmed it.
+        self._groups: coordination.GroupList | None = None
+        self._groups_term = -1
+        self._groups_complete = False
         self._view_ms: clock.Millis | None = None
         self.node_count = settings.nodes
         self.request_count = 0
         self.suspects: set[str] = set()
         # Set if the next message should not wait for the interval to pass.
         self.send_message_now = False
+        # Set if the holder should relay what it read without delay.
+        self.relay_now = False
         # Answers, failures and summed latency in ms of successes, by target.
         self._unreported_outcomes: dict[str, list[float]] = {}
 
+    @property
+    def bounds(self) -> _settings.Bounds:
+        """Return the limits that the deployment sets."""
+        return self._settings.bounds
+
     # Updates from the store.
 
     def apply_configuration(self, configuration: fleet.Configuration) -> bool:
@@ -116,9 +122,11 @@
 
     def message_interval_ms(self) -> float:
         """Return the interval between messages of one node."""
-        return MESSAGE_INTERVAL_MS * max(
-            1.0, self.node_count / MAX_NODES_AT_FULL_RATE
-        )
+        return coordination.message_interval_ms(self.node_count)
+
+    def relay_interval_ms(self) -> float:
+        """Return the interval between messages of the holder to a node."""
+        return coordination.relay_interval_ms(self.node_count)
 
     # Updates from the coordinator.
 
@@ -126,26 +134,47 @@
         self, view: coordination.View, now_ms: clock.Millis
     ) -> None:
         """Apply the coordinator's view; the caller has checked its term."""
-        self._view = view
-        self._view_ms = now_ms
         self.node_count = max(1, view.nodes)
+        self._apply_outcomes(view, now_ms)
+        if view.groups is not None:
+            self._groups, self._groups_term = view.groups, view.term
+        groups = self._groups
+        if (
+            groups is None
+            or self._groups_term != view.term
+            or groups.version != view.groups_version
+        ):
+            # The message with the list was lost; the next status asks for it.
+            self.send_message_now = True
+            return
+        self._view_ms = now_ms
+        self._groups_complete = view.complete
+        keys = groups.keys()
         if view.complete:
-            self._mark_lost_groups(view)
-        keys_with_work = {(work.group, work.epoch) for work in view.work}
+            self._mark_lost_groups(set(keys))
+        row_by_key = {
+            keys[row.position]: row
+            for row in view.load
+            if 0 <= row.position < len(keys)
+        }
         for key, load in self.load_by_group.items():
-            if key not in keys_with_work:
+            if key not in row_by_key:
                 load.others_active = load.others_prefill_tokens = 0.0
                 load.others_updated_ms = now_ms
-        for work in view.work:
-            load = self.load_of((work.group, work.epoch))
-            load.others_active = max(0.0, work.active - load.reported_active)
+        for key, row in row_by_key.items():
+            load = self.load_of(key)
+            load.others_active = max(0.0, row.active - load.reported_active)
             load.others_prefill_tokens = max(
-                0.0, work.pending_prefill_tokens - load.reported_prefill_tokens
+                0.0, row.pending_prefill_tokens - load.reported_prefill_tokens
             )
             load.others_updated_ms = now_ms
-            load.slowness = work.slowness
-            if work.event_age_ms >= 0:
-                load.record_event(now_ms - work.event_age_ms)
+            load.slowness = row.slowness
+            if row.event_age_ms >= 0:
+                load.record_event(now_ms - row.event_age_ms)
+
+    def _apply_outcomes(
+        self, view: coordination.View, now_ms: clock.Millis
+    ) -> None:
         for outcome in view.outcomes:
             succeeded = outcome.answered - outcome.failed
             if succeeded > 0:
@@ -161,12 +190,10 @@
                     outcome.target_id, False, 0.0, now_ms, outcome.failed
                 )
 
-    def _mark_lost_groups(self, view: coordination.View) -> None:
+    def _mark_lost_groups(self, listed: set[GroupKey]) -> None:
         """Mark the groups that the coordinator no longer lists as lost."""
-        keys = {(entry.name, entry.epoch) for entry in view.groups}
-        keys.update(view.closing)
         for key, load in list(self.load_by_group.items()):
-            if key in keys:
+            if key in listed:
                 continue
             load.lost = True
             if not load.active:
@@ -195,14 +222,13 @@
     def _open_entries(
         self, service: str, now_ms: clock.Millis
     ) -> typing.Iterable[coordination.GroupEntry]:
-        view = self._view
         if (
-            view is not None
-            and view.complete
+            self._groups is not None
+            and self._groups_complete
             and self._view_ms is not None
             and now_ms - self._view_ms <= VIEW_MAX_AGE_MS
         ):
-            return view.groups
+            return self._groups.open
         return self._announced_entries(service)
 
     def _announced_entries(
@@ -392,8 +418,18 @@
         else:
             row[1] += 1
 
+    def known_groups(self) -> tuple[int, int]:
+        """Return term and version of the group list; -1 if there is none."""
+        if self._groups is None:
+            return -1, -1
+        return self._groups_term, self._groups.version
+
     def take_status(
-        self, term: int, now_ms: clock.Millis, boot_ms: clock.Millis
+        self,
+        term: int,
+        known: coordination.Known,
+        now_ms: clock.Millis,
+        boot_ms: clock.Millis,
     ) -> coordination.Status:
         """Return this node's status; clear what is reported only once."""
         work = []
@@ -437,6 +473,7 @@
             tuple(work),
             outcomes,
             suspects,
+            known,
         )
 
     def forget_removed_targets(self) -> None:
--- /dev/null
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -0,0 +1,143 @@
+"""Reads and claims the coordinator's term in the platform's store."""
+
+import asyncio
+import json
+import zlib
+
+from quetzalward_core import clock
+from quetzalward_core import coordination
+from quetzalward_gateway import _ports
+from quetzalward_gateway import _runtime
+from quetzalward_gateway import _settings
+
+# Interval at which the holder reads the store for a later term.
+TERM_CHECK_INTERVAL_MS = 1_000
+# Backoff after a failed read of the store or a failed claim. It is needed
+# because all nodes read the store while the holder cannot reach it.
+STORE_RETRY_MS = 250
+STORE_RETRY_FACTOR = 2
+STORE_MAX_RETRY_MS = 2_000
+# A machine below either limit claims a term only if no other node does.
+LOW_CAPACITY_CORES = 1.0
+LOW_CAPACITY_LINK_MBPS = 50.0
+_TERM_KEY = "coordinator"
+_CRC_RANGE = 1 << 32
+
+
+def make_election(
+    settings: _settings.Settings, now_ms: clock.Millis
+) -> coordination.Election:
+    """Return the election as this node takes part in it."""
+    has_low_capacity = (
+        settings.cores < LOW_CAPACITY_CORES
+        or settings.link_mbps < LOW_CAPACITY_LINK_MBPS
+    )
+    return coordination.Election(
+        settings.node,
+        zlib.crc32(settings.node.encode()) / _CRC_RANGE,
+        coordination.LOW_CAPACITY_DELAY_MS if has_low_capacity else 0,
+        now_ms,
+    )
+
+
+class TermKeeper:
+    """Keeps track of the term; at most one call to the store at a time."""
+
+    def __init__(
+        self, runtime: _runtime.Runtime, settings: _settings.Settings
+    ) -> None:
+        """Start without a known term."""
+        self._runtime = runtime
+        self._settings = settings
+        self.election = make_election(settings, runtime.now_ms())
+        # The last term that this process claimed.
+        self.number = 0
+        self.began_ms: clock.Millis = 0
+        self.previous_address: str | None = None
+        self._last_read_ms = -STORE_RETRY_MS
+        self._read_interval_ms = STORE_RETRY_MS
+        self._backoff = coordination.Backoff(
+            STORE_RETRY_MS, STORE_RETRY_FACTOR
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def is_holder(self) -> bool:
+        """Tell whether this node holds the current term."""
+        return self.election.holds_term(self.number)
+
+    def check(self, now_ms: clock.Millis) -> None:
+        """Read the store if that is due, and claim the next term."""
+        if self._task is not None and not self._task.done():
+            return
+        interval_ms = (
+            TERM_CHECK_INTERVAL_MS
+            if self.is_holder
+            else self._read_interval_ms
+        )
+        if now_ms - self._last_read_ms < interval_ms:
+            return
+        if self.is_holder or self.election.should_read_store(now_ms):
+            self._last_read_ms = now_ms
+            loop = asyncio.get_running_loop()
+            self._task = loop.create_task(self._read_or_claim())
+
+    async def _read_or_claim(self) -> None:
+        """Read the newest term and claim the next one if it is due."""
+        runtime = self._runtime
+        topic = runtime.platform.election_topic
+        was_holder = self.is_holder
+        runtime.metrics.count("store_reads", topic)
+        try:
+            page = await runtime.platform.store.newest(topic)
+            self._backoff.record_success()
+            self._read_interval_ms = STORE_RETRY_MS
+            term = self._decode(page)
+            claim = self.election.update_from_store(term, runtime.now_ms())
+            if was_holder or not claim:
+                return
+            value = {
+                "node": self._settings.node,
+                "address": str(self._settings.peers),
+            }
+            offset = await runtime.platform.store.append(
+                topic, _TERM_KEY, json.dumps(value).encode(), page.end
+            )
+        except _ports.StoreError as error:
+            runtime.log.event("duty_unknown", reason=str(error))
+            self._read_interval_ms = self._backoff.record_failure(
+                STORE_MAX_RETRY_MS
+            )
+            return
+        self._begin(offset + 1)
+
+    def _decode(self, page: _ports.Page) -> coordination.Term | None:
+        for record in page.records:
+            if record.key != _TERM_KEY or record.value is None:
+                continue
+            try:
+                value = json.loads(record.value)
+                return coordination.Term(
+                    record.offset + 1,
+                    str(value["node"]),
+                    str(value["address"]),
+                )
+            except (ValueError, KeyError, TypeError) as error:
+                self._runtime.log.event("duty_unreadable", reason=str(error))
+        return None
+
+    def _begin(self, number: int) -> None:
+        now_ms = self._runtime.now_ms()
+        term = coordination.Term(
+            number, self._settings.node, str(self._settings.peers)
+        )
+        # The previous holder sends this node no status and may have lost the
+        # store, so it learns only from a message that its term has ended.
+        previous = self.election.term
+        self.previous_address = None
+        if previous is not None and previous.node != self._settings.node:
+            self.previous_address = previous.address
+        self.election.record_claim(term, now_ms)
+        self.number = number
+        self.began_ms = now_ms
+        self._runtime.log.event("duty_taken", term=number)
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -42,6 +42,10 @@
         record = _ports.Record(len(self.records), key, value.encode())
         self.records.append(record)
 
+    def remove(self, key: str) -> None:
+        """Append a record that deletes a key."""
+        self.records.append(_ports.Record(len(self.records), key, None))
+
     async def newest(self, topic: str) -> _ports.Page:
         """Return all records, including older ones of the same key."""
         self._record_call()
@@ -83,6 +87,14 @@
         """Return a configuration of the version at the start of the record."""
         return configuration(int((record.value or b"0").split()[0]))
 
+    def decode_target(self, record: _ports.Record) -> fleet.Target | None:
+        """Return a target of the service that the record names."""
+        if record.value is None:
+            return None
+        return fleet.Target(
+            record.key, record.value.decode(), ADDRESS, "z", False, 0, 1
+        )
+
 
 class EventLog:
     """Records the names of logged events."""
