Plan groups once the targets have registered; take groups apart for a model

Targets register over about two seconds; the first plan saw 8 to 12 of 20 hosts of each domain, formed groups of four there and kept them, so that no domain ever had room for a group of sixteen. Change: at the first start the plan waits until no unknown target has registered for 1.5 s, at most 5 s.

--- a/packages/core/src/quetzalward_core/grouping/_coordinator.py
+++ b/packages/core/src/quetzalward_core/grouping/_coordinator.py
@@ -12,6 +12,7 @@
 from quetzalward_core import clock
 from quetzalward_core import fleet
 from quetzalward_core.grouping import _adoption
+from quetzalward_core.grouping import _conversion
 from quetzalward_core.grouping import _domain_plan
 from quetzalward_core.grouping import _formation
 from quetzalward_core.grouping import _lifecycle
@@ -24,6 +25,12 @@
 # Delay from the start until existing groups are adopted, so that the first
 # target entries are complete.
 ADOPTION_DELAY_MS = 600
+# At the first start, targets register over seconds. Groups are planned once
+# no new target has registered for the first time, at the latest after the
+# second one. A plan for the first targets would leave no domain with room for
+# the models with large groups.
+SETTLE_MS = 1_500
+MAX_SETTLE_MS = 5_000
 
 _ACCEPTED_ANSWERS = frozenset(
     (_model.OrderAnswer.BEGUN, _model.OrderAnswer.DONE)
@@ -47,6 +54,7 @@
         self._lifecycle = _lifecycle.Lifecycle(self._roster)
         self._formation = _formation.Formation(self._roster, self._next_epoch)
         self._spares = _spares.Spares(self._roster, self._next_epoch)
+        self._conversions = _conversion.Conversions(self._roster)
         # Weight loads are not limited until the first request of a caller.
         self.before_traffic = before_traffic
 
@@ -208,7 +216,12 @@
         """Repair broken groups, form new ones, and stage and warm spares."""
         hosts_by_domain = self._roster.usable_by_domain(now_ms)
         self._formation.repair(hosts_by_domain, now_ms, commands)
-        counts_by_domain = self._roster.count_by_domain()
+        if self.before_traffic and self._is_growing(now_ms):
+            return
+        counts_by_domain = self._roster.count_by_domain(
+            self._conversions.kept_groups()
+        )
+        convertible = self._conversions.convertible_ids()
         total: collections.Counter[str] = collections.Counter()
         for counts in counts_by_domain.values():
             total.update(counts)
@@ -227,12 +240,20 @@
             if is_complete:
                 self._spares.warm(engine, hosts, now_ms, commands)
             staging_requests += self._spares.staging_requests(
-                engine, domain, hosts, plan, demand
+                engine, domain, hosts, plan, demand, convertible
             )
+        self._conversions.update(engine, hosts_by_domain, total, now_ms)
         self._spares.stage(
             engine, staging_requests, self.before_traffic, now_ms, commands
         )
 
+    def _is_growing(self, now_ms: clock.Millis) -> bool:
+        """Tell whether more targets are expected to register soon."""
+        return (
+            now_ms - self._started_ms < MAX_SETTLE_MS
+            and now_ms - self._roster.grown_ms < SETTLE_MS
+        )
+
     def _release_unplanned_targets(
         self, now_ms: clock.Millis, commands: list[_model.Command]
     ) -> None:
--- a/packages/core/src/quetzalward_core/grouping/_domain_plan.py
+++ b/packages/core/src/quetzalward_core/grouping/_domain_plan.py
@@ -10,6 +10,8 @@
 # Share of a domain's hosts that stay out of groups as staged spares. A spare
 # replaces a lost member within 1 to 2 s; loading weights takes 12 to 16 s.
 RESERVE_SHARE = 0.15
+# Share of the work that a model has at least, for relative capacities.
+MIN_SHARE = 0.01
 
 
 @attrs.define
@@ -33,7 +35,9 @@
     return sorted(
         models,
         key=lambda m: (
-            groups_by_model.get(m.name, 0) * m.group_size / max(m.share, 0.01),
+            groups_by_model.get(m.name, 0)
+            * m.group_size
+            / max(m.share, MIN_SHARE),
             -m.share,
             m.name,
         ),
--- a/packages/core/src/quetzalward_core/grouping/_formation.py
+++ b/packages/core/src/quetzalward_core/grouping/_formation.py
@@ -36,7 +36,9 @@
         """Re-form broken groups from survivors and staged spares."""
         broken = self._roster.in_phase(_model.Phase.BROKEN)
         for group in broken:
-            if self._roster.survivors(group, now_ms):
+            if group.retiring:
+                self._roster.remove(group)
+            elif self._roster.survivors(group, now_ms):
                 hosts = hosts_by_domain.get(group.domain, [])
                 self._repair(group, hosts, now_ms, commands)
             else:
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -123,6 +123,8 @@
     # First and last report of the current stall.
     stalled_ms: clock.Millis | None = None
     stall_reported_ms: clock.Millis | None = None
+    # Whether the group closes for good, to make room for another model.
+    retiring: bool = False
 
     @property
     def head(self) -> str:
--- a/packages/core/src/quetzalward_core/grouping/_roster.py
+++ b/packages/core/src/quetzalward_core/grouping/_roster.py
@@ -25,12 +25,16 @@
     group_by_member: dict[str, _model.Group] = attrs.field(factory=dict)
     # Groups, by name and epoch, that emitted recent events.
     producing_groups: frozenset[tuple[str, int]] = frozenset()
+    # When the last unknown target was observed.
+    grown_ms: clock.Millis = 0
 
     # Targets.
 
     def observe(self, target: fleet.Target, now_ms: clock.Millis) -> None:
         """Update a target from its entry in the store."""
         host = self.host_by_id.get(target.id)
+        if host is None:
+            self.grown_ms = now_ms
         if host is None or host.target.born_ms != target.born_ms:
             self.host_by_id[target.id] = _model.Host(
                 target, target.membership, target.staged_models, now_ms
@@ -175,10 +179,13 @@
             and self.group_by_member.get(member) is group
         ]
 
-    def count_by_domain(self) -> dict[str, dict[str, int]]:
+    @staticmethod
+    def count_by_domain(
+        groups: typing.Iterable[_model.Group],
+    ) -> dict[str, dict[str, int]]:
         """Return the number of groups by domain and model."""
         counts: dict[str, dict[str, int]] = {}
-        for group in self.group_by_name.values():
+        for group in groups:
             count_by_model = counts.setdefault(group.domain, {})
             count_by_model[group.model] = (
                 count_by_model.get(group.model, 0) + 1
--- a/packages/core/src/quetzalward_core/grouping/_spares.py
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -105,16 +105,24 @@
         hosts: list[_model.Host],
         plan: _domain_plan.DomainPlan,
         demand: Demand,
+        convertible: frozenset[str] = frozenset(),
     ) -> list[StagingRequest]:
-        """Return what to stage on the hosts of a domain."""
+        """Return what to stage on the hosts of a domain.
+
+        `convertible` are hosts of groups that will make room for others.
+        """
         deficit = dict(plan.hosts_by_model)
         idle = []
-        for host in hosts:
+        # Hosts of groups that stay count first towards their models.
+        for host in sorted(hosts, key=lambda host: host.id in convertible):
             model = host.staging or host.staged_model
             if deficit.get(model, 0) > 0:
                 deficit[model] -= 1
             elif host.staging is None:
-                if host.id not in self._roster.group_by_member:
+                if (
+                    host.id not in self._roster.group_by_member
+                    or host.id in convertible
+                ):
                     idle.append(host)
         # Hosts without weights come first; staging evicts those of the others.
         idle.sort(key=lambda host: (len(host.staged), host.id))
@@ -186,7 +194,9 @@
         for group in self._roster.group_by_name.values():
             model = engine.models_by_name.get(group.model)
             if group.phase is _model.Phase.OPEN and model is not None:
-                capacity = model.group_size / max(model.share, 0.01)
+                capacity = model.group_size / max(
+                    model.share, _domain_plan.MIN_SHARE
+                )
                 demand.capacity_by_model[model.name] += capacity
             if group.phase is _model.Phase.BROKEN:
                 survivors = self._roster.survivors(group, now_ms)
--- a/packages/core/tests/grouping/test_fuzz.py
+++ b/packages/core/tests/grouping/test_fuzz.py
@@ -19,18 +19,26 @@
 STEP_MS = 400
 STEPS = 60
 SEEDS = range(12)
+CONVERSION_SEEDS = range(6)
 
 
 class FaultInjector:
     """Injects random faults into a simulation, one per step."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, in_pieces: bool = False) -> None:
         """Form a fleet, then start traffic."""
         self.rng = random.Random(seed)
         # Large domains hold several groups of a model; one of these is
         # dissolved to complete the others.
         self.domains, hosts = (4, 9) if seed % 2 else (2, 18)
-        self.simulation = builders.Simulation(self.domains, hosts, seed=seed)
+        engine = builders.engine()
+        if in_pieces:
+            # The large model fits only once the other hosts are there.
+            self.domains, hosts = 4, 8
+            engine = builders.engine(16, 4)
+        self.simulation = builders.Simulation(
+            self.domains, hosts, engine, seed=seed
+        )
         self.simulation.run(8_000)
         self.simulation.start_traffic()
         self.deposed: list[grouping.Coordinator] = []
@@ -135,6 +143,12 @@
     def no_fault(self) -> None:
         """Inject no fault."""
 
+    def add_pieces(self) -> None:
+        """Start twelve more targets in each domain."""
+        for domain in range(self.domains):
+            for number in range(12):
+                self.simulation.fleet.add(f"p{domain}-{number}", f"d{domain}")
+
     def clear_faults(self) -> None:
         """End all faults, restart lost targets and wait for recovery."""
         self.deposed.clear()
@@ -174,6 +188,26 @@
                     sum(injector.simulation.open_by_model().values()), 7
                 )
 
+    def test_random_histories_with_conversions(self) -> None:
+        """Groups that make room for a model violate no invariant either."""
+        for seed in CONVERSION_SEEDS:
+            with self.subTest(seed=seed):
+                injector = FaultInjector(seed, in_pieces=True)
+                injector.add_pieces()
+                for _ in range(STEPS):
+                    injector.step()
+                    self.assertEqual([], injector.simulation.fleet.violations)
+                self.check_loads(
+                    injector.simulation.fleet.load_starts_ms, seed
+                )
+                injector.clear_faults()
+                injector.simulation.run(90_000)
+                self.assertEqual([], injector.simulation.fleet.violations)
+                self.assertEqual(
+                    {"large", "small"},
+                    set(injector.simulation.open_by_model()),
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
