Order loads only for what staged spares do not complete

The load limit of the store was used up by spares. Change: staged spares are deducted, fewest missing members first, before loads are ordered for broken groups.

--- a/packages/core/src/quetzalward_core/grouping/_spares.py
+++ b/packages/core/src/quetzalward_core/grouping/_spares.py
@@ -1,5 +1,6 @@
 """Keeps spare hosts, those in no group, staged and warm."""
 
+import collections
 import collections.abc
 
 import attrs
@@ -171,21 +172,29 @@
         held = plan.hosts_by_model[name] - deficit
         return (1 if held < members else 2), 0
 
-    @staticmethod
     def _missing_members(
-        domain: str, hosts: list[_model.Host], demand: Demand
+        self, domain: str, hosts: list[_model.Host], demand: Demand
     ) -> dict[str, list[int]]:
         """Return an item for each load that broken groups of a domain need.
 
-        By model; an item is the number of members that the load's group
-        lacks, fewest first. Loads in progress are left out.
+        By model; an item is the number of loads that the load's group lacks,
+        fewest first. Spares that are staged already complete the groups that
+        lack the fewest. Loads in progress are left out.
         """
+        spares = collections.Counter(
+            host.staged_model for host in self._roster.free(hosts)
+        )
+        loading = collections.Counter(host.staging for host in hosts)
         missing: dict[str, list[int]] = {}
         for name, counts in demand.missing_by_domain.get(domain, {}).items():
-            loads = [count for count in sorted(counts) for _ in range(count)]
-            under_way = sum(1 for host in hosts if host.staging == name)
-            if loads[under_way:]:
-                missing[name] = loads[under_way:]
+            available = spares[name]
+            loads: list[int] = []
+            for count in sorted(counts):
+                lacking = max(0, count - available)
+                available = max(0, available - count)
+                loads += [lacking] * lacking
+            if loads[loading[name] :]:
+                missing[name] = loads[loading[name] :]
         return missing
 
     def demand(self, engine: fleet.Engine, now_ms: clock.Millis) -> Demand:
--- a/packages/core/tests/grouping/test_coordinator.py
+++ b/packages/core/tests/grouping/test_coordinator.py
@@ -51,6 +51,39 @@
         self.assertNotIn([], staged)
 
 
+class LoadOrderTest(unittest.TestCase):
+    """Guards against loads for groups that staged spares complete."""
+
+    def test_loads_go_where_spares_do_not_suffice(self) -> None:
+        """Each group of 16 lacks more members than its domain has spares.
+
+        Four loads were ordered for a group that lacked four members, though
+        three staged spares were at hand; others waited 16 s more.
+        """
+        simulation = builders.Simulation(3, 20, builders.engine(16, 4))
+        simulation.run(9_000)
+        simulation.start_traffic()
+        groups = [
+            g
+            for g in simulation.coordinator.open_groups()
+            if g.model == "large"
+        ]
+        self.assertEqual(2, len(groups))
+        spares = 20 - 16
+        for group, lost in zip(groups, (spares + 2, spares + 3), strict=True):
+            for member in group.members[1 : 1 + lost]:
+                simulation.fleet.kill(member)
+        # The entries expire, and new targets start on other hosts.
+        simulation.run(4_000)
+        for group in groups:
+            for number in range(8):
+                simulation.fleet.add(f"n{group.domain}{number}", group.domain)
+        # Five loads of 16 s run at once.
+        simulation.run(16_000 + 6_000)
+        self.assertEqual(2, simulation.open_by_model().get("large"))
+        self.assertEqual([], simulation.fleet.violations)
+
+
 class RepairTest(unittest.TestCase):
     """Guards against broken groups that stay broken."""
 
