Let only some nodes send to a cold target when there are many

Cause (read from the code): each node may always send one request a second to a cold target, so 195 nodes may send 195 where 27.5 are allowed over all. Change: if the part of a node is under one request a second, the nodes that may send are chosen by a hash of node and target; each sends at most one a second, and no message is needed.

--- a/packages/core/src/quetzalward_core/placing/_budget.py
+++ b/packages/core/src/quetzalward_core/placing/_budget.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import hashlib
 
 import attrs
 
@@ -54,6 +55,7 @@
 # targets too; a tenth is left for nodes whose one-second windows start at
 # other times.
 WARM_USABLE_SHARE = 0.9
+_HASH_RANGE = 1 << 32
 
 
 @attrs.frozen
@@ -77,8 +79,9 @@
 
     WINDOW_MS = 1_000
 
-    def __init__(self) -> None:
-        """Start without recorded requests."""
+    def __init__(self, node: str = "") -> None:
+        """Start without recorded requests of a node."""
+        self._node = node
         self._sent_ms_by_target: dict[str, collections.deque[clock.Millis]] = (
             {}
         )
@@ -89,17 +92,30 @@
         per_s: float,
         nodes: int,
         now_ms: clock.Millis,
+        is_cold: bool = False,
     ) -> bool:
         """Return whether this node may send a target one more request.
 
-        `per_s` is the allowed rate of all `nodes` together.
+        `per_s` is the allowed rate of all `nodes` together. If that is less
+        than one request for each node, only some of the nodes may send to a
+        cold target. They are chosen by hash, so that they need no message.
         """
+        share = per_s / max(1, nodes)
+        if is_cold and share < 1 and self._position(target_id) >= share:
+            return False
         sent_ms = self._sent_ms_by_target.get(target_id)
         if sent_ms is None:
             return True
         while sent_ms and sent_ms[0] <= now_ms - self.WINDOW_MS:
             sent_ms.popleft()
-        return len(sent_ms) + 1 <= max(1.0, per_s / max(1, nodes))
+        return len(sent_ms) + 1 <= max(1.0, share)
+
+    def _position(self, target_id: str) -> float:
+        """Return this node's position among all for a target, 0 to 1."""
+        digest = hashlib.blake2b(
+            f"{self._node}\n{target_id}".encode(), digest_size=4
+        ).digest()
+        return int.from_bytes(digest, "big") / _HASH_RANGE
 
     def record_request(self, target_id: str, now_ms: clock.Millis) -> None:
         """Count a request to a target that may be cold."""
--- a/packages/core/tests/placing/test_placing.py
+++ b/packages/core/tests/placing/test_placing.py
@@ -252,6 +252,32 @@
         self.assertLessEqual(self.sent_by_all(True), 38)
         self.assertGreater(self.sent_by_all(True), 10)
 
+    def test_cold_target_of_many_nodes_stays_within_its_rate(self) -> None:
+        """One request a second from each of 195 nodes would be too many."""
+        limit = placing.ColdStartLimit(15, 15 * 1.5 + 5)
+        for nodes in (7, 64, 195, 390):
+            budgets = [placing.ColdStartBudget(f"n{i}") for i in range(nodes)]
+            per_s = limit.allowed_per_s(True)
+            sent_by_target = {
+                target: self.sent_within_a_second(budgets, target, per_s)
+                for target in (f"t{i}" for i in range(40))
+            }
+            self.assertLessEqual(max(sent_by_target.values()), 27.5)
+            self.assertGreater(min(sent_by_target.values()), 0)
+
+    @staticmethod
+    def sent_within_a_second(
+        budgets: list[placing.ColdStartBudget], target: str, per_s: float
+    ) -> int:
+        """Return what nodes with unlimited requests send to a cold target."""
+        sent = 0
+        for now_ms in range(0, 1_000, 100):
+            for budget in budgets:
+                while budget.allows(target, per_s, len(budgets), now_ms, True):
+                    budget.record_request(target, now_ms)
+                    sent += 1
+        return sent
+
     def test_warm_target_is_not_limited_to_the_cold_rate(self) -> None:
         """A node with most of the callers can use few groups.
 
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -64,7 +64,7 @@
         self.directory = fleet.Directory()
         self.freshness = fleet.Freshness(settings.bounds.revoke_ms)
         self.outcomes = placing.OutcomeTracker()
-        self.cold_start_budget = placing.ColdStartBudget()
+        self.cold_start_budget = placing.ColdStartBudget(settings.node)
         self._retry_budget_by_service: dict[str, placing.RetryBudget] = {}
         self.load_by_group: dict[GroupKey, placing.GroupLoad] = {}
         # The holder's group list, the term that numbers its versions, and the
@@ -381,7 +381,11 @@
         )
         is_cold = self.directory.cold_left_ms(target_id, now_ms) > 0
         return self.cold_start_budget.allows(
-            target_id, limit.allowed_per_s(is_cold), self.node_count, now_ms
+            target_id,
+            limit.allowed_per_s(is_cold),
+            self.node_count,
+            now_ms,
+            is_cold,
         )
 
     def retry_budget(self, service: str) -> placing.RetryBudget:
