End answers without end; refuse entries that would end the process

Cause: a call's timeout applied to each read, and a body was read for as long as bytes came in. An event without an end was kept until the deadline, and a caller that sent a byte now and then held its connection for ever. Change: a part of an answer must be complete within the timeout; buffered bodies end at 8 MiB, events at 1 MiB, informational responses at 16; a request head has one deadline. A planned stop no longer closes an idle connection on which a request has just come in.

--- a/packages/gateway/src/quetzalward_gateway/_events.py
+++ b/packages/gateway/src/quetzalward_gateway/_events.py
@@ -3,12 +3,19 @@
 import attrs
 
 _ID = b"id:"
+# Maximum size of one event. A target in trouble may send bytes without end
+# that never complete an event.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class EventGap(Exception):
     """The id of an event is not the successor of the last one."""
 
 
+class EventTooLarge(Exception):
+    """An event is larger than `MAX_EVENT_BYTES`."""
+
+
 @attrs.frozen
 class Event:
     """The raw bytes of one event, ready to forward, and its id."""
@@ -30,12 +37,19 @@
         return not self._buffer.strip()
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add a part of the body; return the events that it completes."""
+        """Add a part of the body; return the events that it completes.
+
+        Raises `EventTooLarge` if the incomplete event grows too large.
+        """
         self._buffer += data
         events: list[Event] = []
         while True:
             end = _event_length(self._buffer)
             if end < 0:
+                if len(self._buffer) > MAX_EVENT_BYTES:
+                    raise EventTooLarge(
+                        f"an event exceeds {MAX_EVENT_BYTES} bytes"
+                    )
                 return events
             raw, self._buffer = self._buffer[:end], self._buffer[end:]
             events.append(Event(raw, _event_id(raw)))
--- a/packages/gateway/src/quetzalward_gateway/_http.py
+++ b/packages/gateway/src/quetzalward_gateway/_http.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 client over channels; h11 parses and frames the messages."""
 
+import asyncio
 import typing
 
 import attrs
@@ -13,6 +14,11 @@
 
 # Response heads of targets and of the store are far smaller.
 MAX_HEAD_BYTES = 65_536
+# Informational (1xx) responses before a response; a server in trouble may
+# send them without end.
+MAX_INFORMATIONAL_RESPONSES = 16
+# Maximum size of a body that is buffered as a whole.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
 class ProtocolError(Exception):
@@ -63,10 +69,11 @@
     async def read_head(self, timeout_ms: float) -> ResponseHead:
         """Return the response head; informational (1xx) ones are skipped.
 
-        Raises `ProtocolError`, and `ChannelReset` or `ChannelTimeout`; the
-        timeout applies to each read.
+        Raises `ProtocolError`, and `ChannelReset` or `ChannelTimeout`. The
+        part must be complete within the timeout, also if its bytes keep
+        coming in.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next(timeout_ms)
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -78,6 +85,7 @@
                 )
                 return ResponseHead(event.status_code, headers, is_framed)
             raise ProtocolError("the connection ended before a response head")
+        raise ProtocolError("too many informational responses")
 
     async def read_data(self, timeout_ms: float) -> bytes | None:
         """Return the next part of the body, `None` at its end.
@@ -93,6 +101,31 @@
             "unexpected message part in place of the response body"
         )
 
+    async def read_body(
+        self,
+        remaining_ms: typing.Callable[[], float],
+        max_bytes: int = MAX_BODY_BYTES,
+    ) -> bytes:
+        """Return the whole body.
+
+        `remaining_ms` returns the time left, which also ends a body without
+        end. Raises as `read_head` does, and `ProtocolError` if the body is
+        larger than `max_bytes`.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            left_ms = remaining_ms()
+            if left_ms <= 0:
+                raise _channel.ChannelTimeout
+            part = await self.read_data(left_ms)
+            if part is None:
+                return b"".join(parts)
+            size += len(part)
+            if size > max_bytes:
+                raise ProtocolError(f"the body exceeds {max_bytes} bytes")
+            parts.append(part)
+
     def has_trailing_data(self) -> bool:
         """Tell whether bytes follow the response."""
         trailing_bytes, _ = self._http.trailing_data
@@ -112,13 +145,19 @@
         self._http.start_next_cycle()
 
     async def _next(self, timeout_ms: float) -> typing.Any:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_ms / clock.MILLIS_PER_SECOND
         try:
             while True:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self._channel.receive(timeout_ms)
+                left_ms = (end_s - loop.time()) * clock.MILLIS_PER_SECOND
+                data = await self._channel.receive(left_ms)
                 self._http.receive_data(data)
+                if left_ms <= 0:
+                    # Parts of an event keep coming in.
+                    raise _channel.ChannelTimeout
         except h11.RemoteProtocolError as error:
             raise ProtocolError(str(error)) from error
 
@@ -212,9 +251,5 @@
 
     async def _receive(self, call: ClientCall, deadline_ms: float) -> Response:
         head = await call.read_head(deadline_ms - self._now_ms())
-        parts: list[bytes] = []
-        while True:
-            part = await call.read_data(deadline_ms - self._now_ms())
-            if part is None:
-                return Response(head.status, head.headers, b"".join(parts))
-            parts.append(part)
+        body = await call.read_body(lambda: deadline_ms - self._now_ms())
+        return Response(head.status, head.headers, body)
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -168,12 +168,7 @@
     try:
         head = await http.read_head(attempt_deadline_ms - now_ms())
         answer = call.runtime.platform.decode_answer(head)
-        parts = []
-        while True:
-            part = await http.read_data(attempt_deadline_ms - now_ms())
-            if part is None:
-                break
-            parts.append(part)
+        body = await http.read_body(lambda: attempt_deadline_ms - now_ms())
     except _channel.ChannelTimeout:
         if call.remaining_ms() > MIN_REMAINING_MS:
             return _Attempt(
@@ -188,7 +183,7 @@
             _Result.BROKEN, f"incomplete or invalid response: {error}"
         )
     return _attempts.check_response_head(request, answer) or _Attempt(
-        _Result.ANSWERED, "", answer, b"".join(parts)
+        _Result.ANSWERED, "", answer, body
     )
 
 
--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -155,7 +155,9 @@
             self._server.close()
         self._is_closing = True
         for channel in list(self._idle_channels):
-            channel.close()
+            # A request may have come in that its task has not read yet.
+            if not channel.has_input:
+                channel.close()
 
     def abort_all(self) -> None:
         """Cancel the tasks of all connections."""
@@ -293,6 +295,12 @@
         channel: _channel.Channel,
         timeout_ms: float,
     ) -> typing.Any:
+        """Return the next part of a request.
+
+        It must be complete within the timeout, also if its bytes keep coming
+        in.
+        """
+        deadline_ms = self._now_ms() + timeout_ms
         while True:
             try:
                 event = http.next_event()
@@ -300,8 +308,11 @@
                 raise _Rejected(error.error_status_hint) from error
             if event is not h11.NEED_DATA:
                 return event
+            left_ms = deadline_ms - self._now_ms()
+            if left_ms <= 0:
+                raise _Rejected(408)
             try:
-                data = await channel.receive(timeout_ms)
+                data = await channel.receive(left_ms)
             except _channel.ChannelTimeout as error:
                 raise _Rejected(408) from error
             if not data:
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -319,7 +319,11 @@
             if answer.status >= 300 or not _is_event_stream(head):
                 return await self._receive_response(http, answer, place, load)
             return await self._relay_events(http, answer, place, load)
-        except (_channel.ChannelReset, _http.ProtocolError) as error:
+        except (
+            _channel.ChannelReset,
+            _events.EventTooLarge,
+            _http.ProtocolError,
+        ) as error:
             return _Attempt(
                 _Result.BROKEN, f"incomplete or invalid response: {error}"
             )
@@ -338,12 +342,18 @@
         Forwards it unless it is an error or the stream has been started.
         """
         parts = []
+        size = 0
         while True:
             part = await self._receive_part(http.read_data, place, load)
             if isinstance(part, _Attempt):
                 return part
             if part is None:
                 break
+            size += len(part)
+            if size > _http.MAX_BODY_BYTES:
+                raise _http.ProtocolError(
+                    f"the body exceeds {_http.MAX_BODY_BYTES} bytes"
+                )
             parts.append(part)
         body = b"".join(parts)
         if answer.status < 300 and not self._call.responder.started:
--- a/packages/gateway/src/quetzalward_gateway/_terms.py
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -122,7 +122,12 @@
                     str(value["node"]),
                     str(value["address"]),
                 )
-            except (ValueError, KeyError, TypeError) as error:
+            except (
+                ValueError,
+                KeyError,
+                TypeError,
+                RecursionError,
+            ) as error:
                 self._runtime.log.event("duty_unreadable", reason=str(error))
         return None
 
--- /dev/null
+++ b/packages/gateway/tests/hostile_targets.py
@@ -0,0 +1,59 @@
+"""Targets in trouble: servers that send bytes that are no answer."""
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+from quetzalward_core import fleet
+
+# Sends what a target answers; it ends when the caller closes.
+Script = collections.abc.Callable[
+    [asyncio.StreamWriter], collections.abc.Awaitable[None]
+]
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+
+
+class HostileTarget:
+    """Serves one script on a loopback port and records closed connections."""
+
+    def __init__(self, script: Script) -> None:
+        """Answer each connection with a script."""
+        self._script = script
+        self.address = fleet.Address("127.0.0.1", 0)
+        self.closed = asyncio.Event()
+        self.sent_bytes = 0
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            await self._script(writer)
+        self.closed.set()
+        writer.transport.abort()
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> typing.AsyncIterator["HostileTarget"]:
+        """Listen while the context is open."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        self.address = fleet.Address("127.0.0.1", port)
+        try:
+            yield self
+        finally:
+            server.close()
+
+
+def endless(head: bytes, block: bytes, pause_s: float = 0.0) -> HostileTarget:
+    """Return a target that sends a block again and again after a head."""
+
+    async def send(writer: asyncio.StreamWriter) -> None:
+        writer.write(head)
+        while True:
+            writer.write(block)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+
+    return HostileTarget(send)
