Let the holder of the term hand over when it stops

Restarts in turn stop each holder. Change: a holder that stops says so in its messages. Another node claims the next term at once, and the old holder coordinates until it learns of it. A node that stops claims no term.

--- a/packages/core/src/quetzalward_core/coordination/_election.py
+++ b/packages/core/src/quetzalward_core/coordination/_election.py
@@ -58,11 +58,15 @@
     delay_ms: clock.Millis = 0
     started_ms: clock.Millis = 0
     node_count: int = 1
+    # Whether this node stops soon and claims no term.
+    is_leaving: bool = False
     term: Term | None = None
     _holder_message_ms: clock.Millis | None = None
     _term_learned_ms: clock.Millis | None = None
     _peer_message_ms: clock.Millis | None = None
     _cool_down_until_ms: clock.Millis = 0
+    # Since when the holder has announced that it stops.
+    _holder_leaving_since_ms: clock.Millis | None = None
     # Since when the holder has not read the store successfully.
     _store_stale_since_ms: clock.Millis | None = None
 
@@ -81,12 +85,22 @@
         """Record a message from any other node."""
         self._peer_message_ms = now_ms
 
-    def accept_holder_message(self, term: Term, now_ms: clock.Millis) -> bool:
-        """Process a holder's message; false if its term is outdated."""
+    def accept_holder_message(
+        self, term: Term, now_ms: clock.Millis, is_leaving: bool = False
+    ) -> bool:
+        """Process a holder's message; false if its term is outdated.
+
+        A holder that stops announces it with `is_leaving` and continues
+        until another node has claimed the next term.
+        """
         if self.term is not None and term.number < self.term.number:
             return False
         self._set_term(term, now_ms)
         self._holder_message_ms = now_ms
+        if not is_leaving:
+            self._holder_leaving_since_ms = None
+        elif self._holder_leaving_since_ms is None:
+            self._holder_leaving_since_ms = now_ms
         return True
 
     def update_from_store(
@@ -125,13 +139,18 @@
     def should_read_store(self, now_ms: clock.Millis) -> bool:
         """Tell whether to read the store, with a view to a claim.
 
-        That is the case if the holder sent no message, or could not read
-        the store, for too long.
+        That is the case if the holder stops, or if it sent no message or
+        could not read the store for too long.
         """
+        if self.is_leaving:
+            return False
         if self.is_holder and self._holder_message_ms is not None:
             return False
         if now_ms < self._cool_down_until_ms:
             return False
+        if self._holder_leaving_since_ms is not None:
+            waited_ms = now_ms - self._holder_leaving_since_ms
+            return waited_ms >= self.stagger_ms
         if self._store_stale_since_ms is not None:
             waited_ms = now_ms - self._store_stale_since_ms
             return waited_ms >= STORE_READ_GRACE_MS + self.stagger_ms
@@ -167,6 +186,7 @@
         self.term = term
         self._term_learned_ms = now_ms
         self._holder_message_ms = None
+        self._holder_leaving_since_ms = None
         self._store_stale_since_ms = None
         if was_holder and not self.is_holder:
             is_isolated = (
--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -123,6 +123,8 @@
     # The sender's clock.
     sent_ms: int
     store: StoreView | None
+    # Whether the sender stops soon, so that another node claims the term.
+    is_leaving: bool = False
 
 
 @attrs.frozen
@@ -173,6 +175,8 @@
     # holder sends its first messages to them.
     peers: tuple[str, ...] = ()
     store: StoreView | None = None
+    # As in `Relay`.
+    is_leaving: bool = False
 
 
 # Longer messages are compressed, because they would exceed one packet of most
@@ -282,13 +286,14 @@
 
 
 def _relay(row: list[typing.Any]) -> Relay:
-    node, term, address, sent_ms, store = row
+    node, term, address, sent_ms, store, is_leaving = row
     return Relay(
         str(node),
         int(term),
         _address(address),
         int(sent_ms),
         _store_view(store),
+        bool(is_leaving),
     )
 
 
@@ -306,6 +311,7 @@
         outcomes,
         peers,
         store,
+        is_leaving,
     ) = row
     return View(
         str(node),
@@ -320,6 +326,7 @@
         tuple(_outcome(*item) for item in outcomes),
         tuple(_address(item) for item in peers),
         _store_view(store),
+        bool(is_leaving),
     )
 
 
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -122,6 +122,26 @@
             first.accept_holder_message(second.term, 3_000) and first.is_holder
         )
 
+    def test_holder_that_stops_is_replaced_before_it_ends(self) -> None:
+        """A planned stop of the holder left the groups alone for 1 to 2 s."""
+        store = _Store()
+        first = coordination.Election("a", 0)
+        read_and_claim(first, store, 0)
+        second = coordination.Election("b", 0.2)
+        read_and_claim(second, store, 0)
+        assert first.term is not None
+        first.is_leaving = True
+        for now_ms in range(1_000, 1_400, 50):
+            if not second.is_holder:
+                second.accept_holder_message(first.term, now_ms, True)
+                if second.should_read_store(now_ms):
+                    read_and_claim(second, store, now_ms)
+        self.assertTrue(second.is_holder)
+        assert second.term is not None
+        first.accept_holder_message(second.term, 1_400)
+        self.assertFalse(first.is_holder)
+        self.assertFalse(first.should_read_store(9_000))
+
     def test_random_histories_have_one_holder_of_each_term(self) -> None:
         """Terms are unique and the store's last claim decides."""
         rng = random.Random(7)
@@ -178,7 +198,7 @@
         for message in (
             attrs.evolve(builders.view(), store=store),
             attrs.evolve(builders.view(), groups=None),
-            coordination.Relay("a", 3, "a:1", 5_000, store),
+            coordination.Relay("a", 3, "a:1", 5_000, store, True),
             builders.status(),
         ):
             data = coordination.encode(message)
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -144,6 +144,7 @@
         started_ms = self.runtime.now_ms()
         self._stopping = True
         self._callers.drain()
+        self._coordinator.begin_leaving()
         self.runtime.log.event("draining", in_flight=self._callers.in_flight)
         grace_ms = self._settings.bounds.grace_ms
         end_ms = started_ms + grace_ms - EXIT_MARGIN_MS
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -75,6 +75,14 @@
         """Tell whether this node holds the current term."""
         return self._terms.is_holder
 
+    def begin_leaving(self) -> None:
+        """Let another node claim the term, because this node stops.
+
+        As the holder, this node coordinates until that has happened.
+        """
+        self._terms.election.is_leaving = True
+        self._runtime.state.relay_now = True
+
     async def run(self) -> None:
         """Run the election and exchange messages until cancelled."""
         await self._socket.start(self._settings.peers)
@@ -123,7 +131,9 @@
                 self._reports.record(message, sender, now_ms)
             return
         term = coordination.Term(message.term, message.node, message.address)
-        if not election.accept_holder_message(term, now_ms):
+        if not election.accept_holder_message(
+            term, now_ms, message.is_leaving
+        ):
             return
         self._follow_term()
         sent_ms = self._earliest_sent_ms(message, echo_ms)
@@ -257,13 +267,19 @@
                 str(self._settings.peers),
                 self._runtime.boot_ms(),
                 store,
+                self._terms.election.is_leaving,
             )
         has_groups = (known.term, known.groups_version) == (
             view.term,
             view.groups_version,
         )
         groups = None if has_groups else view.groups
-        return attrs.evolve(view, groups=groups, store=store)
+        return attrs.evolve(
+            view,
+            groups=groups,
+            store=store,
+            is_leaving=self._terms.election.is_leaving,
+        )
 
     def _view(self, now_ms: clock.Millis) -> coordination.View:
         """Return the view that the coordinator sends to all nodes."""
