--- a/packages/bench/src/quetzalward_bench/__main__.py
+++ b/packages/bench/src/quetzalward_bench/__main__.py
@@ -9,6 +9,7 @@
 MODULE_BY_NAME = {
     "capacity": "quetzalward_bench.capacity",
     "coldstart": "quetzalward_bench._coldstart",
+    "day": "quetzalward_bench.day",
     "fold": "quetzalward_bench.fold",
     "formation": "quetzalward_bench.formation",
     "limits": "quetzalward_bench._limits",
