--- /dev/null
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -0,0 +1,275 @@
+"""A single attempt to serve a stream from a group."""
+
+import collections.abc
+import typing
+
+import attrs
+
+from quetzalward_core import clock
+from quetzalward_core import placing
+from quetzalward_gateway import _attempts
+from quetzalward_gateway import _channel
+from quetzalward_gateway import _events
+from quetzalward_gateway import _http
+from quetzalward_gateway import _ports
+from quetzalward_gateway import _runtime
+from quetzalward_gateway import _state
+
+# Interval at which a waiting stream checks whether its group has stalled.
+STALL_CHECK_INTERVAL_MS = 80
+
+_Part = typing.TypeVar("_Part")
+_Attempt = _attempts.Attempt
+_Result = _attempts.Result
+
+
+@attrs.define
+class StreamProgress:
+    """What the caller of a stream has received, over all attempts."""
+
+    sequence: _events.EventSequence
+    # Time of the last event, or of the request if there was none.
+    last_event_ms: clock.Millis
+    first_event_ms: clock.Millis | None = None
+    longest_gap_ms: clock.Millis = 0
+
+
+def _is_event_stream(head: _http.ResponseHead) -> bool:
+    return any(
+        name == b"content-type" and value.startswith(b"text/event-stream")
+        for name, value in head.headers
+    )
+
+
+class StreamAttempt:
+    """Sends a stream's request to one group and forwards the events."""
+
+    def __init__(
+        self,
+        call: _runtime.Call,
+        place: _state.StreamPlacement,
+        progress: StreamProgress,
+    ) -> None:
+        """Take the group; nothing is sent yet."""
+        self._call = call
+        self._state = call.runtime.state
+        self._place = place
+        self._progress = progress
+        self._load = self._state.load_of(place.group.key)
+        # Prompt tokens that count as pending at the group.
+        self._prefill_tokens = 0
+        # When this attempt's response and its first event arrived.
+        self.response_ms: clock.Millis | None = None
+        self.first_event_ms: clock.Millis | None = None
+
+    async def run(self) -> _Attempt:
+        """Send the request and forward the response."""
+        prompt = self._call.request.prompt
+        tokens = prompt.prompt_tokens if prompt else 0
+        # Counted before the connection is opened, so that the placement of
+        # concurrent requests takes it into account.
+        self._load.started(tokens, self._call.runtime.now_ms())
+        self._prefill_tokens = tokens
+        try:
+            return await self._connect_and_relay()
+        finally:
+            self._load.prefill_done(self._prefill_tokens)
+            self._prefill_tokens = 0
+            self._load.ended()
+
+    async def _connect_and_relay(self) -> _Attempt:
+        runtime = self._call.runtime
+        head = self._place.group.head
+        try:
+            channel = await _channel.connect(
+                head.address,
+                min(_attempts.CONNECT_TIMEOUT_MS, self._call.remaining_ms()),
+            )
+        except (_channel.ChannelReset, _channel.ChannelTimeout) as error:
+            self._load.suspect(runtime.now_ms())
+            self._state.suspects.add(head.id)
+            return _Attempt(
+                _Result.UNREACHABLE,
+                f"connection to the group's head failed: {error!r}",
+            )
+        self._state.cold_start_budget.record_request(head.id, runtime.now_ms())
+        try:
+            attempt = await self._relay(channel)
+        finally:
+            channel.abort()
+        if attempt.result is _Result.NOT_RUN:
+            self._suspect_culprit(attempt)
+        elif attempt.result is _Result.STALLED:
+            self._load.suspect(runtime.now_ms())
+        return attempt
+
+    def _suspect_culprit(self, attempt: _Attempt) -> None:
+        """Mark the target that a response names as the cause as a suspect."""
+        culprit = attempt.head.failed_target_id if attempt.head else None
+        if culprit is not None and culprit != self._place.group.head.id:
+            self._state.suspects.add(culprit)
+
+    async def _relay(self, channel: _channel.Channel) -> _Attempt:
+        """Send the request and forward the events of its response."""
+        call = self._call
+        http = _http.ClientCall(channel)
+        last_event_id = self._progress.sequence.last_id
+        http.send(
+            call.request.method,
+            call.request.target,
+            call.target_headers(self._place.group.head, last_event_id),
+            call.raw.body,
+        )
+        try:
+            head = await self._receive_part(http.read_head)
+            if isinstance(head, _Attempt):
+                return head
+            self.response_ms = call.runtime.now_ms()
+            answer = call.runtime.platform.decode_answer(head)
+            failed_attempt = _attempts.check_response_head(
+                call.request, answer
+            )
+            if failed_attempt is not None:
+                return failed_attempt
+            if answer.status >= 300 or not _is_event_stream(head):
+                return await self._receive_response(http, answer)
+            return await self._relay_events(http, answer)
+        except (
+            _channel.ChannelReset,
+            _events.EventTooLarge,
+            _http.ProtocolError,
+        ) as error:
+            return _Attempt(
+                _Result.BROKEN, f"incomplete or invalid response: {error}"
+            )
+        except _events.EventGap as error:
+            return _Attempt(_Result.GAP, str(error))
+
+    async def _receive_response(
+        self, http: _http.ClientCall, answer: _ports.TargetAnswer
+    ) -> _Attempt:
+        """Receive a response that is an error or no event stream.
+
+        Forwards it unless it is an error or the stream has been started.
+        """
+        parts = []
+        size = 0
+        while True:
+            part = await self._receive_part(http.read_data)
+            if isinstance(part, _Attempt):
+                return part
+            if part is None:
+                break
+            size += len(part)
+            if size > _http.MAX_BODY_BYTES:
+                raise _http.ProtocolError(
+                    f"the body exceeds {_http.MAX_BODY_BYTES} bytes"
+                )
+            parts.append(part)
+        body = b"".join(parts)
+        if answer.status < 300 and not self._call.responder.started:
+            self._call.responder.send_response(
+                answer.status, answer.forwarded, body
+            )
+            return _Attempt(_Result.COMPLETE)
+        return _Attempt(
+            _Result.FAILED,
+            f"the target responded with status {answer.status}",
+            answer,
+            body,
+        )
+
+    async def _relay_events(
+        self, http: _http.ClientCall, answer: _ports.TargetAnswer
+    ) -> _Attempt:
+        """Forward complete events as they arrive."""
+        progress = self._progress
+        responder = self._call.responder
+        splitter = _events.EventSplitter()
+        while True:
+            data = await self._receive_part(http.read_data)
+            if isinstance(data, _Attempt):
+                return data
+            if data is None:
+                break
+            events = splitter.feed(data)
+            if not events:
+                continue
+            self._record_event()
+            to_forward = [
+                e.data for e in events if progress.sequence.accept(e)
+            ]
+            if not to_forward:
+                continue
+            if not responder.started:
+                progress.first_event_ms = progress.last_event_ms
+                responder.start_stream(answer.status, answer.forwarded)
+            await responder.send_chunk(b"".join(to_forward))
+        if not splitter.is_at_event_boundary:
+            return _Attempt(_Result.BROKEN, "the stream ended within an event")
+        if not responder.started:
+            responder.start_stream(answer.status, answer.forwarded)
+        responder.finish()
+        return _Attempt(_Result.COMPLETE)
+
+    def _record_event(self) -> None:
+        now_ms = self._call.runtime.now_ms()
+        progress, load, place = self._progress, self._load, self._place
+        if self._prefill_tokens:
+            load.prefill_done(self._prefill_tokens)
+            self._prefill_tokens = 0
+        else:
+            predicted_ms = placing.pass_ms(
+                place.engine, place.model, load.load(now_ms).active
+            )
+            load.observe_gap(now_ms - progress.last_event_ms, predicted_ms)
+        load.record_own_event(now_ms)
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms
+        if self._call.responder.started:
+            gap_ms = now_ms - progress.last_event_ms
+            progress.longest_gap_ms = max(progress.longest_gap_ms, gap_ms)
+        progress.last_event_ms = now_ms
+
+    async def _receive_part(
+        self,
+        receive: collections.abc.Callable[
+            [float], collections.abc.Awaitable[_Part]
+        ],
+    ) -> _Part | _Attempt:
+        """Receive a part of the response while the group makes progress.
+
+        Returns a failed `_Attempt` if the deadline passes or the group
+        stalls.
+        """
+        call, load, place = self._call, self._load, self._place
+        full_load_pass_ms = placing.pass_ms(
+            place.engine, place.model, place.engine.slots
+        )
+        while True:
+            left_ms = call.remaining_ms() + _attempts.DEADLINE_GRACE_MS
+            if left_ms <= 0:
+                return _Attempt(
+                    _Result.TIMEOUT, "the request's deadline has passed"
+                )
+            try:
+                return await receive(min(STALL_CHECK_INTERVAL_MS, left_ms))
+            except _channel.ChannelTimeout:
+                now_ms = call.runtime.now_ms()
+                if load.lost:
+                    return _Attempt(
+                        _Result.STALLED,
+                        "the coordinator has given up the group's epoch",
+                    )
+                if load.suspected or load.has_stalled(
+                    full_load_pass_ms, now_ms
+                ):
+                    return _Attempt(
+                        _Result.STALLED,
+                        "the group has stalled or is a suspect",
+                    )
+                if not load.check_requested and load.needs_check(
+                    full_load_pass_ms, now_ms
+                ):
+                    load.check_requested = True
+                    self._state.send_message_now = True
