--- a/packages/gateway/src/quetzalward_gateway/_attempts.py
+++ b/packages/gateway/src/quetzalward_gateway/_attempts.py
@@ -36,6 +36,16 @@
     GAP = "gap"
 
 
+class Phase(enum.Enum):
+    """How far a target got with an attempt."""
+
+    # Nothing of the response has arrived.
+    SENT = "sent"
+    # The response has begun, but none of its events is complete.
+    BEGUN = "begun"
+    WRITING = "writing"
+
+
 @attrs.frozen
 class Attempt:
     """One attempt: its result and what the target sent back."""
--- a/packages/gateway/src/quetzalward_gateway/_ports.py
+++ b/packages/gateway/src/quetzalward_gateway/_ports.py
@@ -88,6 +88,9 @@
     last_event_id: str | None
     model: str | None
     prompt: placing.Prompt | None
+    # Ids of the parts of the prompt that other requests may share, in order,
+    # without the last part, which is the request's or its session's own.
+    shared_parts: tuple[str, ...]
     # Headers to forward to a target, without hop-by-hop headers.
     forwarded: _http.Headers
 
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -62,6 +62,15 @@
         self.response_ms: clock.Millis | None = None
         self.first_event_ms: clock.Millis | None = None
 
+    @property
+    def phase(self) -> _attempts.Phase:
+        """Return how far the group got."""
+        if self.first_event_ms is not None:
+            return _attempts.Phase.WRITING
+        if self.response_ms is not None:
+            return _attempts.Phase.BEGUN
+        return _attempts.Phase.SENT
+
     async def run(self) -> _Attempt:
         """Send the request and forward the response."""
         prompt = self._call.request.prompt
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -67,11 +67,15 @@
                     last, reason="the retry budget is exhausted"
                 )
                 break
-            last = await self._attempt(place)
+            attempt = _stream_attempt.StreamAttempt(
+                self._call, place, self._progress
+            )
+            last = await attempt.run()
+            self._count(place, last)
             if last.result is _Result.COMPLETE:
                 self._record_completion(place)
                 return
-            self._log_failure(place, last)
+            self._log_failure(place, last, attempt.phase)
             if not self._may_retry(last):
                 break
         self._end_failed(last)
@@ -104,18 +108,13 @@
                 RESUME_POLL_INTERVAL_MS / clock.MILLIS_PER_SECOND
             )
 
-    async def _attempt(self, place: _state.StreamPlacement) -> _Attempt:
-        """Send the request to a group and count the attempt."""
-        attempt = _stream_attempt.StreamAttempt(
-            self._call, place, self._progress
-        )
-        last = await attempt.run()
+    def _count(self, place: _state.StreamPlacement, last: _Attempt) -> None:
+        """Count an attempt at a group."""
         self._tried_groups.add(place.group.key)
         if last.result is _Result.NOT_RUN:
             self._unexecuted_attempts += 1
         elif last.result is not _Result.UNREACHABLE:
             self._executed_attempts += 1
-        return last
 
     def _may_retry(self, last: _Attempt) -> bool:
         """Tell whether another attempt may follow a failed one."""
@@ -149,6 +148,7 @@
             load_age_ms=place.load_age_ms,
             first_ms=first_ms,
             longest_pause_ms=self._progress.longest_gap_ms,
+            parts=call.request.shared_parts,
             runs=self._executed_attempts,
         )
         metrics = call.runtime.metrics
@@ -159,16 +159,24 @@
             metrics.count("resumed")
 
     def _log_failure(
-        self, place: _state.StreamPlacement, last: _Attempt
+        self,
+        place: _state.StreamPlacement,
+        last: _Attempt,
+        phase: _attempts.Phase,
     ) -> None:
         entry = place.group.entry
         load = self._state.load_of(place.group.key)
+        self._call.runtime.metrics.count(
+            "failed_attempts", f"{last.result.value}, {phase.value}"
+        )
         self._call.log_event(
             "attempt_failed",
             target=place.group.head.id,
             group=entry.name,
             epoch=entry.epoch,
             result=last.result.value,
+            phase=phase.value,
+            parts=self._call.request.shared_parts,
             reason=last.reason,
             predicted_ms=round(place.first_event_ms),
             group_active=load.active,
