--- a/packages/bench/src/quetzalward_bench/soak/_callers.py
+++ b/packages/bench/src/quetzalward_bench/soak/_callers.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from quetzalward_bench.soak import _prompts
 from quetzalward_core import fleet
 import quetzalward_gateway as gateway
 from quetzalward_standins.platform import _operator
@@ -24,6 +25,7 @@
     tenant: str
     key: str
     sent_s: float
+    prompt: _prompts.Prompt | None = None
 
 
 @attrs.define
@@ -63,9 +65,11 @@
         ports: list[int],
         operator: _operator.Operator,
         outcomes: Outcomes,
+        prompts: _prompts.Prompts,
         rng: random.Random,
     ) -> None:
         """Send requests to the nodes at loopback ports."""
+        self._prompts = prompts
         self._ports = ports
         self._operator = operator
         self._outcomes = outcomes
@@ -88,7 +92,10 @@
             tenant = key.split("-")[1]
         self._sent_count += 1
         attempt_id = f"a{id(self):x}-{self._sent_count}"
-        sent = SentAttempt(attempt_id, kind, tenant, key, time.monotonic())
+        prompt = self._prompts.draw() if kind == "draft" else None
+        sent = SentAttempt(
+            attempt_id, kind, tenant, key, time.monotonic(), prompt
+        )
         self._outcomes.sent_by_id[attempt_id] = sent
         event_count = self._rng.randint(5, 25)
         headers = [
@@ -100,7 +107,10 @@
             ),
             (b"authorization", f"Token {key}".encode()),
         ]
-        if kind == "draft":
+        if prompt is not None:
+            headers.append(
+                (b"quetzalward-prompt-prefix", prompt.header.encode())
+            )
             model = self._rng.choice(("large", "small"))
             headers.append((b"quetzalward-model", model.encode()))
             tokens = f"200,{event_count}".encode()
@@ -126,7 +136,8 @@
 
     def _record(self, sent: SentAttempt, outcome: str, ok: bool) -> None:
         self._outcomes.answered[f"{sent.kind} {outcome}"] += 1
-        if sent.key not in self._operator.revoked_s_by_key:
+        is_crashing = sent.prompt is not None and sent.prompt.crashing_part
+        if sent.key not in self._operator.revoked_s_by_key and not is_crashing:
             self._outcomes.recent.append((time.monotonic(), sent.kind, ok))
 
     def _check(
--- a/packages/bench/src/quetzalward_bench/soak/_faults.py
+++ b/packages/bench/src/quetzalward_bench/soak/_faults.py
@@ -7,11 +7,16 @@
 import time
 
 from quetzalward_bench.soak import _nodes
+from quetzalward_bench.soak import _prompts
 from quetzalward_standins import platform
 
 # Time between the end of a node process and its restart. Deployments tolerate
 # the planned loss of one node at a time.
 RESTART_DELAY_S = 0.5
+# Share of the steps at which a fault of the answers begins as well.
+ANSWER_FAULT_SHARE = 0.25
+
+_Action = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
 class Faults:
@@ -23,14 +28,19 @@
         store: platform.Store,
         targets: platform.Targets,
         operator: platform.Operator,
+        prompts: _prompts.Prompts,
         rng: random.Random,
+        answer_rng: random.Random,
     ) -> None:
         """Inject faults into the components of one run."""
+        self._prompts = prompts
         self._nodes = nodes
         self._store = store
         self._targets = targets
         self._operator = operator
         self._rng = rng
+        # A generator of its own keeps the draws of recorded seeds.
+        self._answer_rng = answer_rng
         self._tasks: set[asyncio.Task[None]] = set()
         self.history: list[str] = []
         # Until this time, a fault of the store or of a node may delay updates.
@@ -39,9 +49,11 @@
     async def run(self, seconds: float) -> None:
         """Start random faults for a time, then wait until all have ended."""
         end_s = time.monotonic() + seconds
-        actions: list[
-            collections.abc.Callable[[], collections.abc.Awaitable[None]]
-        ] = [
+        answer_actions: list[_Action] = [
+            self.send_unframed_answers,
+            self.crash_targets_on_prompts,
+        ]
+        actions: list[_Action] = [
             self.kill_node,
             self.pause_node,
             self.stop_node,
@@ -60,14 +72,18 @@
             self.evacuate_zone,
         ]
         while time.monotonic() < end_s:
-            action = self._rng.choice(actions)
-            self.history.append(action.__name__)
-            task = asyncio.create_task(_as_coroutine(action()))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._begin(self._rng.choice(actions))
+            if self._answer_rng.random() < ANSWER_FAULT_SHARE:
+                self._begin(self._answer_rng.choice(answer_actions))
             await asyncio.sleep(self._rng.uniform(0.2, 1.5))
         await asyncio.gather(*self._tasks)
 
+    def _begin(self, action: _Action) -> None:
+        self.history.append(action.__name__)
+        task = asyncio.create_task(_as_coroutine(action()))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _extend_disturbance(self, seconds: float) -> None:
         until_s = time.monotonic() + seconds + 5.0
         self.disturbed_until_s = max(self.disturbed_until_s, until_s)
@@ -167,9 +183,27 @@
 
     async def break_answers(self) -> None:
         """Make targets abort some of their responses."""
-        self._targets.abort_probability = 0.2
+        faults = self._targets.stream_faults
+        faults.abort_probability = 0.2
         await asyncio.sleep(self._draw_duration_s())
-        self._targets.abort_probability = 0.0
+        faults.abort_probability = 0.0
+
+    async def send_unframed_answers(self) -> None:
+        """Make targets send answers without a length, some broken off."""
+        faults = self._targets.stream_faults
+        faults.unframed_probability = 0.5
+        faults.abort_probability = 0.2
+        await asyncio.sleep(self._answer_rng.uniform(0.3, 3.0))
+        faults.unframed_probability = 0.0
+        faults.abort_probability = 0.0
+
+    async def crash_targets_on_prompts(self) -> None:
+        """Make one part of some prompts end each target that answers."""
+        part = self._prompts.add_crashing_part()
+        crashing_parts = self._targets.stream_faults.crashing_parts
+        crashing_parts.add(part)
+        await asyncio.sleep(self._answer_rng.uniform(5.0, 10.0))
+        self._prompts.remove_crashing_part(part)
 
     async def change_configuration(self) -> None:
         """Publish a few configurations in quick succession."""
--- a/packages/bench/src/quetzalward_bench/soak/_run.py
+++ b/packages/bench/src/quetzalward_bench/soak/_run.py
@@ -13,6 +13,7 @@
 from quetzalward_bench.soak import _callers
 from quetzalward_bench.soak import _faults
 from quetzalward_bench.soak import _nodes
+from quetzalward_bench.soak import _prompts
 from quetzalward_core import fleet
 from quetzalward_standins import platform
 
@@ -82,7 +83,16 @@
         for n in range(count)
     ]
     outcomes = _callers.Outcomes()
-    faults = _faults.Faults(nodes, store, targets, operator, rng)
+    prompts = _prompts.Prompts(random.Random(f"{seed}-prompts"))
+    faults = _faults.Faults(
+        nodes,
+        store,
+        targets,
+        operator,
+        prompts,
+        rng,
+        random.Random(f"{seed}-answers"),
+    )
     tasks = [asyncio.create_task(targets.run())]
     try:
         for node in nodes:
@@ -92,16 +102,20 @@
         tasks += [
             asyncio.create_task(
                 _callers.Callers(
-                    ports, operator, outcomes, random.Random(f"{seed}-{n}")
+                    ports,
+                    operator,
+                    outcomes,
+                    prompts,
+                    random.Random(f"{seed}-{n}"),
                 ).run()
             )
             for n in range(CALLERS)
         ]
-        recovery_s = await _await_service(outcomes)
+        recovery_s = await await_service(outcomes)
         targets.fleet.has_traffic = True
         if recovery_s >= 0:
             await faults.run(seconds)
-            recovery_s = await _await_service(outcomes)
+            recovery_s = await await_service(outcomes)
         stop_errors = await _stop(nodes)
     finally:
         for task in tasks:
@@ -120,7 +134,7 @@
     )
 
 
-async def _await_service(outcomes: _callers.Outcomes) -> float:
+async def await_service(outcomes: _callers.Outcomes) -> float:
     """Return the seconds until each kind is served, -1 on a time-out."""
     started_s = time.monotonic()
     while time.monotonic() - started_s < RECOVERY_TIMEOUT_S:
@@ -156,6 +170,14 @@
 ) -> list[str]:
     """Check the executions against the attempts and their responses."""
     broken = list(targets.fleet.violations)
+    prompts_by_attempt = {
+        attempt_id: sent.prompt
+        for attempt_id, sent in outcomes.sent_by_id.items()
+        if sent.prompt is not None
+    }
+    broken += _prompts.check(
+        prompts_by_attempt, targets, faults.disturbed_until_s
+    )
     execution_count_by_id: dict[str, int] = {}
     for execution in targets.executions:
         execution_count_by_id[execution.attempt_id] = (
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -133,13 +133,13 @@
             head = await self._receive_part(http.read_head)
             if isinstance(head, _Attempt):
                 return head
-            self.response_ms = call.runtime.now_ms()
             answer = call.runtime.platform.decode_answer(head)
             failed_attempt = _attempts.check_response_head(
                 call.request, answer
             )
             if failed_attempt is not None:
                 return failed_attempt
+            self.response_ms = call.runtime.now_ms()
             if answer.status >= 300 or not _is_event_stream(head):
                 return await self._receive_response(http, answer)
             return await self._relay_events(http, answer)
--- a/packages/standins/src/quetzalward_standins/platform/__init__.py
+++ b/packages/standins/src/quetzalward_standins/platform/__init__.py
@@ -7,10 +7,12 @@
 from quetzalward_standins.platform._proxy import Proxy
 from quetzalward_standins.platform._proxy import ProxyMode
 from quetzalward_standins.platform._store import Store
+from quetzalward_standins.platform._targets import Crash
 from quetzalward_standins.platform._targets import Execution
 from quetzalward_standins.platform._targets import Targets
 
 __all__ = [
+    "Crash",
     "Execution",
     "Operator",
     "Proxy",
--- a/packages/standins/src/quetzalward_standins/platform/_http.py
+++ b/packages/standins/src/quetzalward_standins/platform/_http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections.abc
+import socket
+import struct
 import typing
 import urllib.parse
 
@@ -43,6 +45,7 @@
         """Create the writer of a connection's next response."""
         self._http = http
         self._writer = writer
+        self._is_framed = True
         self.aborted = False
 
     def send(
@@ -65,13 +68,44 @@
         )
         self._writer.write(self._http.send(response) or b"")
 
+    def send_unframed_headers(
+        self, status: int, headers: dict[str, str]
+    ) -> None:
+        """Send a head whose body ends with the connection.
+
+        h11 would add chunked encoding, so the bytes are written directly.
+        Until `close`, the end of the connection is a reset, since a clean one
+        would make the body look complete.
+        """
+        self._is_framed = False
+        self._set_reset_on_close(True)
+        lines = [f"HTTP/1.1 {status} OK"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        self._writer.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
+
     def send_data(self, data: bytes) -> None:
         """Send a part of the body."""
-        self._writer.write(self._http.send(h11.Data(data=data)) or b"")
+        if self._is_framed:
+            data = self._http.send(h11.Data(data=data)) or b""
+        self._writer.write(data)
 
     def send_end(self) -> None:
-        """End the body."""
-        self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
+        """End the body; without a length or chunks, close the connection."""
+        if self._is_framed:
+            self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection after what was sent, wherever the body is."""
+        self.aborted = True
+        self._set_reset_on_close(False)
+        self._writer.close()
+
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        sock = self._writer.get_extra_info("socket")
+        linger = struct.pack("ii", enabled, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def reset(self) -> None:
         """Abort the connection."""
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -17,9 +17,9 @@
 from quetzalward_standins import group_targets
 from quetzalward_standins.platform import _http
 from quetzalward_standins.platform import _store
+from quetzalward_standins.platform import _streams
 
 TARGETS_TOPIC = "keyed.servers"
-REPLICA_SEAL_HEADER = "Quetzalward-Replica-Seal"
 _STATUS_BY_ANSWER = {
     grouping.OrderAnswer.BEGUN: 202,
     grouping.OrderAnswer.DONE: 200,
@@ -27,6 +27,8 @@
     grouping.OrderAnswer.STALE: 412,
 }
 UPDATE_INTERVAL_S = 0.02
+# Time after which a target that crashed under a request is back.
+CRASH_RESTART_S = 2.5
 
 
 @attrs.frozen
@@ -41,6 +43,16 @@
     key_header: str | None
 
 
+@attrs.frozen
+class Crash:
+    """The end of a target under a request with a crashing part."""
+
+    part: str
+    target_id: str
+    attempt_id: str
+    at_s: float
+
+
 @attrs.define
 class PlainTarget:
     """A target of the plain service."""
@@ -74,7 +86,9 @@
         # When the drain or removal of a target was written to the store.
         self.departure_s_by_id: dict[str, float] = {}
         self.token_interval_s = 0.03
-        self.abort_probability = 0.0
+        self.stream_faults = _streams.StreamFaults()
+        self.crashes: list[Crash] = []
+        self._restarts: set[asyncio.Task[None]] = set()
         self._rng = rng
         self._server_by_id: dict[str, _http.Server] = {}
         self._port_by_id: dict[str, int] = {}
@@ -261,10 +275,10 @@
         attempt_id = self._record_execution(target_id, request)
         await asyncio.sleep(0.01)
         headers = {
-            REPLICA_SEAL_HEADER: "s",
+            _streams.REPLICA_SEAL_HEADER: "s",
             "Quetzalward-Attempt-Id": attempt_id,
         }
-        if self._rng.random() < self.abort_probability:
+        if self._rng.random() < self.stream_faults.abort_probability:
             reply.send_headers(200, {"content-length": "100", **headers})
             reply.send_data(b"part")
             await asyncio.sleep(0.01)
@@ -285,32 +299,42 @@
         ):
             reply.send(503, b"", {"Quetzalward-Not-Executed": "1"})
             return
-        start = int(request.headers.get("last-event-id", "0"))
-        count = int(request.headers["quetzalward-token-count"].split(",")[1])
         while not self._is_complete(membership):
             await asyncio.sleep(self.token_interval_s)
         attempt_id = self._record_execution(target.id, request)
-        reply.send_headers(
-            200,
-            {
-                REPLICA_SEAL_HEADER: target.id,
-                "Quetzalward-Attempt-Id": attempt_id,
-                "content-type": "text/event-stream",
-                "transfer-encoding": "chunked",
-            },
+        stream = _streams.Stream(
+            request, reply, attempt_id, self.stream_faults, self._rng
         )
-        for number in range(start + 1, count + 1):
+        stream.begin(target.id)
+        part = stream.crashing_part()
+        if part is not None:
+            await asyncio.sleep(self.token_interval_s)
+            self._crash(target.id, part, attempt_id)
+            return
+        while not stream.is_complete:
             while not self._is_complete(membership):
                 await asyncio.sleep(self.token_interval_s)
-            event = f"id: {number}\ndata: {attempt_id}:{number}\n\n".encode()
-            if self._rng.random() < self.abort_probability / count:
-                reply.send_data(event[:5])
-                reply.reset()
+            if not stream.send_next():
                 return
-            reply.send_data(event)
             await asyncio.sleep(self.token_interval_s)
         reply.send_end()
 
+    def _crash(self, target_id: str, part: str, attempt_id: str) -> None:
+        """End a target under a request; it is back after some seconds."""
+        if not self.fleet.target_by_id[target_id].alive:
+            return
+        self.crashes.append(
+            Crash(part, target_id, attempt_id, time.monotonic())
+        )
+        self.kill(target_id)
+        task = asyncio.create_task(self._restart_later(target_id))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_later(self, target_id: str) -> None:
+        await asyncio.sleep(CRASH_RESTART_S)
+        await self.restart(target_id)
+
     def _is_complete(self, membership: group_targets.TargetMembership) -> bool:
         """Tell whether all members of a group are alive and in its epoch."""
         for member in membership.members:
