Take the end of a stream without framing before an event as a break

A stream with neither a length nor chunks ends with its connection, and a target that crashes closes its connection as well: callers got a complete, empty stream.

An end after a whole event still completes such a stream, since nothing else marks its end.

--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -142,7 +142,7 @@
             self.response_ms = call.runtime.now_ms()
             if answer.status >= 300 or not _is_event_stream(head):
                 return await self._receive_response(http, answer)
-            return await self._relay_events(http, answer)
+            return await self._relay_events(http, answer, head.is_framed)
         except (
             _channel.ChannelReset,
             _events.EventTooLarge,
@@ -189,7 +189,10 @@
         )
 
     async def _relay_events(
-        self, http: _http.ClientCall, answer: _ports.TargetAnswer
+        self,
+        http: _http.ClientCall,
+        answer: _ports.TargetAnswer,
+        is_framed: bool,
     ) -> _Attempt:
         """Forward complete events as they arrive."""
         progress = self._progress
@@ -216,6 +219,10 @@
             await responder.send_chunk(b"".join(to_forward))
         if not splitter.is_at_event_boundary:
             return _Attempt(_Result.BROKEN, "the stream ended within an event")
+        if not is_framed and self.first_event_ms is None:
+            # The end of the connection is all that ends such a body, and a
+            # target that crashes ends it, too.
+            return _Attempt(_Result.BROKEN, "the stream ended before an event")
         if not responder.started:
             responder.start_stream(answer.status, answer.forwarded)
         responder.finish()
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -8,6 +8,7 @@
 
 from quetzalward_core import clock
 from quetzalward_core import fleet
+from quetzalward_gateway import _http
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _settings
@@ -87,6 +88,12 @@
         """Return a configuration of the version at the start of the record."""
         return configuration(int((record.value or b"0").split()[0]))
 
+    def decode_answer(self, head: _http.ResponseHead) -> _ports.TargetAnswer:
+        """Return a sealed answer; a 503 says that nothing was executed."""
+        return _ports.TargetAnswer(
+            head.status, True, head.status == 503, None, None, False, []
+        )
+
     def decode_target(self, record: _ports.Record) -> fleet.Target | None:
         """Return a target of the service that the record names."""
         if record.value is None:
@@ -129,3 +136,73 @@
     def boot_ms(self) -> clock.Millis:
         """Return the time of the manual clock; there is no suspension."""
         return self.time.now_ms()
+
+
+def engine() -> fleet.Engine:
+    """Return an engine with few slots and no models."""
+    return fleet.Engine(
+        4, 10_000, 7, 6.0, 0.1, 0.01, 50.0, 0.3, 2_048, 4.0, 6, 1, 100,
+        500, 20, {},
+    )  # fmt: skip
+
+
+class Responder:
+    """Keeps what a caller would receive."""
+
+    def __init__(self) -> None:
+        """Start without a response."""
+        self.started = self.finished = False
+        self.status: int | None = None
+        self.body = b""
+
+    def send_response(
+        self, status: int, headers: _http.Headers, body: bytes
+    ) -> None:
+        """Keep a complete response."""
+        self.start_stream(status, headers)
+        self.body = body
+        self.finish()
+
+    def start_stream(self, status: int, headers: _http.Headers) -> None:
+        """Keep the status of a stream."""
+        self.started, self.status = True, status
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Keep a part of a stream."""
+        self.body += data
+
+    def finish(self) -> None:
+        """Record that the response is complete."""
+        self.finished = True
+
+
+class Call:
+    """Replaces `_runtime.Call` for a stream whose prompt has one part."""
+
+    def __init__(self) -> None:
+        """Give the request a deadline far away."""
+        self.runtime = Runtime(clock.SystemClock())
+        self.responder = Responder()
+        self.raw = RawRequest()
+        self.request = _ports.CallerRequest(
+            b"r", b"POST", b"/", "h", "/", None, None, None, "m", None,
+            ("p",), [],
+        )  # fmt: skip
+
+    def remaining_ms(self) -> clock.Millis:
+        """Return the time until the deadline."""
+        return 5_000
+
+    def target_headers(
+        self, target: fleet.Target, last_event_id: str | None
+    ) -> _http.Headers:
+        """Return the headers of a request without a body."""
+        return [(b"host", b"h"), (b"content-length", b"0")]
+
+
+@attrs.frozen
+class RawRequest:
+    """The parts of a request that an attempt uses."""
+
+    body: bytes = b""
+    received_ms: clock.Millis = 0
