Block prompts under which targets crash, at all nodes

Cause: a failure of a target was charged to the target alone. A stream whose target ended was sent once more, and nothing about its prompt was kept or told to other nodes.

Change: nodes report attempts that were cut off before the answer had settled, with the shared parts of the prompt, and answers that settled. The holder of the term blames a part if target after target ended under it at different times, none of its answers settled in between, and that is unlikely by chance, measured on the other attempts. Parts that always came together are blocked together, so that sound prompts with one of them pass. All nodes refuse a blocked prompt at once; the block is kept in the store until an operator removes its record. The second attempt of a request whose target ended as it began to answer waits for 120 ms and is not made if its parts are suspect.

--- a/packages/core/src/quetzalward_core/coordination/__init__.py
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -23,6 +23,11 @@
 from quetzalward_core.coordination._messages import with_echo
 from quetzalward_core.coordination._peer_addresses import PeerAddresses
 from quetzalward_core.coordination._peer_clock import PeerClock
+from quetzalward_core.coordination._quarantine_messages import BlockRow
+from quetzalward_core.coordination._quarantine_messages import CrashReport
+from quetzalward_core.coordination._quarantine_messages import CrashRow
+from quetzalward_core.coordination._quarantine_messages import QuarantineView
+from quetzalward_core.coordination._quarantine_messages import SoundRow
 from quetzalward_core.coordination._relay_buffer import MAX_RELAY_BYTES
 from quetzalward_core.coordination._relay_buffer import RelayBuffer
 from quetzalward_core.coordination._timing import message_interval_ms
@@ -32,6 +37,9 @@
 
 __all__ = [
     "Backoff",
+    "BlockRow",
+    "CrashReport",
+    "CrashRow",
     "Election",
     "GroupEntry",
     "GroupList",
@@ -44,11 +52,13 @@
     "Outcome",
     "PeerAddresses",
     "PeerClock",
+    "QuarantineView",
     "RELAY_CHECK_INTERVAL_MS",
     "Relay",
     "RelayBuffer",
     "RelayTiming",
     "RelayedRecord",
+    "SoundRow",
     "Status",
     "StoreView",
     "Term",
--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from quetzalward_core.coordination import _quarantine_messages
+
 
 @attrs.frozen
 class GroupWork:
@@ -193,9 +195,23 @@
 _STATUS = "status"
 _VIEW = "view"
 _RELAY = "relay"
-_KIND_BY_TYPE: dict[type, str] = {Status: _STATUS, View: _VIEW, Relay: _RELAY}
-
-Message = Status | View | Relay
+_CRASH_REPORT = "crashes"
+_QUARANTINE_VIEW = "quarantine"
+_KIND_BY_TYPE: dict[type, str] = {
+    Status: _STATUS,
+    View: _VIEW,
+    Relay: _RELAY,
+    _quarantine_messages.CrashReport: _CRASH_REPORT,
+    _quarantine_messages.QuarantineView: _QUARANTINE_VIEW,
+}
+
+Message = (
+    Status
+    | View
+    | Relay
+    | _quarantine_messages.CrashReport
+    | _quarantine_messages.QuarantineView
+)
 
 
 def encode(message: Message) -> bytes:
@@ -412,4 +428,10 @@
 
 _DECODER_BY_KIND: dict[
     str, collections.abc.Callable[[list[typing.Any]], Message]
-] = {_STATUS: _status, _RELAY: _relay, _VIEW: _view}
+] = {
+    _STATUS: _status,
+    _RELAY: _relay,
+    _VIEW: _view,
+    _CRASH_REPORT: _quarantine_messages.crash_report,
+    _QUARANTINE_VIEW: _quarantine_messages.quarantine_view,
+}
--- a/packages/core/src/quetzalward_core/errors.py
+++ b/packages/core/src/quetzalward_core/errors.py
@@ -41,6 +41,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_TARGET = "no_target"
+    PROMPT_BLOCKED = "prompt_blocked"
     NODE_ISOLATED = "node_isolated"
     NODE_STOPPING = "node_stopping"
     LOG_UNAVAILABLE = "log_unavailable"
@@ -144,6 +145,13 @@
     ErrorKind.NO_TARGET: ProblemType(
         503, "No target can serve this", True, _NOT_RUN, "Wait and repeat."
     ),
+    ErrorKind.PROMPT_BLOCKED: ProblemType(
+        503,
+        "Targets crashed under this prompt",
+        False,
+        _NOT_RUN,
+        "Change the prompt, or ask an operator to lift the block.",
+    ),
     ErrorKind.NODE_ISOLATED: ProblemType(
         503,
         "This entry host is cut off",
--- /dev/null
+++ b/packages/core/src/quetzalward_core/quarantine/_correlator.py
@@ -0,0 +1,297 @@
+"""Finds the part of a prompt under which targets crash.
+
+A crash cuts off all answers of its target, and most of them are not its cause.
+A part is the cause if target after target crashed under it and no answer to it
+settled in between. Crashes at one time count once, since one fault may end
+many targets. Parts that settled before and parts that always came together are
+told from the cause as described at `Correlator.find`.
+"""
+
+import collections
+import math
+import typing
+
+import attrs
+
+from quetzalward_core import clock
+from quetzalward_core.quarantine import _evidence
+from quetzalward_core.quarantine import _quarantine
+
+# Crashes within this time of the first are one incident.
+INCIDENT_MS = 100
+# Probability, at most, that a part met all of its incidents by chance; smaller
+# for a part with settled answers before.
+MAX_CHANCE = 2e-6
+MAX_SETTLED_CHANCE = 2e-8
+# Least probability, for any attempt, to be cut off by chance when the answer
+# had begun, and to be cut off at all before it settled. The measured share of
+# the other attempts counts if it is higher.
+MIN_BEGUN_CHANCE = 0.01
+MIN_CUT_CHANCE = 0.1
+MAX_ATTEMPT_CHANCE = 0.9
+MIN_INCIDENTS = 3
+# Distinct requests: one that is sent again and again could be unlucky.
+MIN_REQUESTS = 2
+# Answers that began after the first incident and settled. With fewer, all
+# requests fail, and only a part without any settled answer differs from the
+# others; it needs twice the incidents.
+MIN_SERVICE = 5
+UNSERVED_FACTOR = 2
+# Crashed targets from which on the nodes are asked about a part.
+SUSPECT_TARGETS = 2
+MAX_SUSPECTS = 64
+# A suspect that no target crashed under for this long is not listed.
+SUSPECT_MS = 10_000
+# Targets whose crash is explained by a block; the oldest are forgotten.
+MAX_EXPLAINED_TARGETS = 1_024
+
+
+@attrs.define
+class _Run:
+    """Crashes under one part since its last settled answer."""
+
+    crashes: list[_evidence.Crash] = attrs.field(factory=list)
+
+    def incident_weights(self) -> list[int]:
+        """Return the highest weight of each incident."""
+        weights: list[int] = []
+        begin_ms: clock.Millis | None = None
+        for crash in sorted(self.crashes, key=lambda c: c.at_ms):
+            if begin_ms is None or crash.at_ms - begin_ms > INCIDENT_MS:
+                begin_ms = crash.at_ms
+                weights.append(crash.weight)
+            else:
+                weights[-1] = max(weights[-1], crash.weight)
+        return weights
+
+    def targets(self) -> set[str]:
+        """Return the targets that crashed."""
+        return {crash.target for crash in self.crashes}
+
+    def is_repeated(self) -> bool:
+        """Tell whether there are enough incidents, targets and requests."""
+        return (
+            len(self.incident_weights()) >= MIN_INCIDENTS
+            and len(self.targets()) >= MIN_INCIDENTS
+            and len({c.request for c in self.crashes}) >= MIN_REQUESTS
+        )
+
+    def common_parts(self) -> set[str]:
+        """Return the parts that all crashed requests had."""
+        return set.intersection(*(set(c.parts) for c in self.crashes))
+
+
+class Correlator:
+    """Evidence of all nodes, and the parts that it points to."""
+
+    def __init__(self, quarantine: _quarantine.Quarantine) -> None:
+        """Start without evidence; `quarantine` has the blocks in force."""
+        self._quarantine = quarantine
+        self._explained_targets: dict[str, None] = {}
+        self._has_changed = False
+        self._suspects: tuple[str, ...] = ()
+        self._crash_by_key: dict[tuple[str, str], _evidence.Crash] = {}
+        self._sound_ms_by_part: dict[str, clock.Millis] = {}
+        # Settled answers by node and age, and when they were reported.
+        self._service_by_node: dict[
+            str, tuple[tuple[int, ...], clock.Millis]
+        ] = {}
+        # When the nodes were first asked about a suspect.
+        self._asked_ms_by_part: dict[str, clock.Millis] = {}
+
+    def add_crash(self, crash: _evidence.Crash) -> None:
+        """Record a node's crash; a repeated report changes nothing."""
+        key = (crash.request, crash.target)
+        if key in self._crash_by_key:
+            return
+        if crash.target in self._explained_targets:
+            return
+        if self._quarantine.blocking(crash.parts) is not None:
+            self._explain_targets({crash.target})
+            return
+        self._has_changed = True
+        self._crash_by_key[key] = crash
+        while len(self._crash_by_key) > _evidence.MAX_CRASHES:
+            del self._crash_by_key[next(iter(self._crash_by_key))]
+
+    def add_sound(self, part: str, began_ms: clock.Millis) -> None:
+        """Record that an answer begun at `began_ms` settled with a part."""
+        known_ms = self._sound_ms_by_part.get(part)
+        if known_ms is None or began_ms > known_ms:
+            self._has_changed = True
+            self._sound_ms_by_part[part] = began_ms
+
+    def add_service(
+        self, node: str, counts: tuple[int, ...], now_ms: clock.Millis
+    ) -> None:
+        """Record a node's settled answers by the age of their beginning."""
+        self._service_by_node[node] = (counts, now_ms)
+
+    def sound_ms(self, part: str) -> clock.Millis | None:
+        """Return when the last settled answer with a part began."""
+        return self._sound_ms_by_part.get(part)
+
+    def suspects(self, now_ms: clock.Millis) -> tuple[str, ...]:
+        """Return the parts about which the nodes are asked."""
+        if not self._has_changed:
+            return self._suspects
+        self._has_changed = False
+        listed = [
+            (len(run.targets()), part)
+            for part, run in self._runs().items()
+            if len(run.targets()) >= SUSPECT_TARGETS
+            and now_ms - max(c.at_ms for c in run.crashes) <= SUSPECT_MS
+        ]
+        listed.sort(reverse=True)
+        self._suspects = tuple(part for _, part in listed[:MAX_SUSPECTS])
+        self._asked_ms_by_part = {
+            part: self._asked_ms_by_part.get(part, now_ms)
+            for part in self._suspects
+        }
+        return self._suspects
+
+    def find(
+        self, now_ms: clock.Millis, answer_ms: float
+    ) -> frozenset[str] | None:
+        """Return the parts that crash targets together, or `None`.
+
+        A suspect is considered once the nodes had `answer_ms` to report
+        settled answers. Parts without any settled answer come first. If
+        several parts were in all of the crashed requests, those are returned
+        that never settled, since sound requests share the others; if all did
+        settle once, those that did not since.
+        """
+        if not self._suspects:
+            return None
+        runs = self._runs()
+        found: list[tuple[bool, float, int, str]] = []
+        for part, asked_ms in self._asked_ms_by_part.items():
+            run = runs.get(part)
+            if run is None or now_ms - asked_ms < answer_ms:
+                continue
+            has_settled = part in self._sound_ms_by_part
+            chance_log = self._chance_log(run, now_ms)
+            if run.is_repeated() and chance_log <= self._max_chance_log(
+                run, has_settled, now_ms
+            ):
+                found.append(
+                    (not has_settled, -chance_log, len(run.targets()), part)
+                )
+        if not found:
+            return None
+        run = runs[max(found)[-1]]
+        common = run.common_parts()
+        unsettled = {p for p in common if p not in self._sound_ms_by_part}
+        if unsettled:
+            return frozenset(unsettled)
+        first_ms = min(crash.at_ms for crash in run.crashes)
+        return frozenset(
+            p for p in common if self._sound_ms_by_part[p] <= first_ms
+        )
+
+    def _chance_log(self, run: _Run, now_ms: clock.Millis) -> float:
+        """Return the logarithm of the chance to meet a run's incidents.
+
+        It is taken from the attempts of the last seconds at targets that the
+        run does not explain.
+        """
+        since_ms = now_ms - _evidence.SERVICE_WINDOW_MS
+        targets = run.targets()
+        others = [
+            crash
+            for crash in self._crash_by_key.values()
+            if crash.at_ms >= since_ms and crash.target not in targets
+        ]
+        begun = sum(c.weight >= _evidence.BEGUN_WEIGHT for c in others)
+        attempts = max(1, len(others) + self._service(since_ms))
+        begun_chance = max(MIN_BEGUN_CHANCE, begun / attempts)
+        cut_chance = max(MIN_CUT_CHANCE, len(others) / attempts)
+        total = 0.0
+        for weight in run.incident_weights():
+            is_begun = weight >= _evidence.BEGUN_WEIGHT
+            chance = begun_chance if is_begun else cut_chance
+            total += math.log(min(MAX_ATTEMPT_CHANCE, chance))
+        return total
+
+    def _max_chance_log(
+        self, run: _Run, has_settled: bool, now_ms: clock.Millis
+    ) -> float:
+        """Return the logarithm of the chance below which a part is blamed."""
+        window_ms = now_ms - _evidence.SERVICE_WINDOW_MS
+        first_ms = max(window_ms, min(c.at_ms for c in run.crashes))
+        if self._service(first_ms) >= MIN_SERVICE:
+            return math.log(MAX_SETTLED_CHANCE if has_settled else MAX_CHANCE)
+        if has_settled:
+            return -math.inf
+        return UNSERVED_FACTOR * math.log(MAX_CHANCE)
+
+    def explain(self, parts: frozenset[str]) -> list[_evidence.Crash]:
+        """Drop the crashes of targets that ended under these parts.
+
+        What else was cut off by them is no evidence against other parts.
+        Returns the crashes of requests that had the parts.
+        """
+        explained = [
+            crash
+            for crash in self._crash_by_key.values()
+            if parts <= set(crash.parts)
+        ]
+        self._explain_targets({crash.target for crash in explained})
+        return explained
+
+    def _explain_targets(self, targets: set[str]) -> None:
+        self._has_changed = True
+        self._explained_targets.update(dict.fromkeys(targets))
+        while len(self._explained_targets) > MAX_EXPLAINED_TARGETS:
+            del self._explained_targets[next(iter(self._explained_targets))]
+        self._crash_by_key = {
+            key: crash
+            for key, crash in self._crash_by_key.items()
+            if crash.target not in targets
+        }
+
+    def expire(self, now_ms: clock.Millis) -> None:
+        """Drop what is too old to count."""
+        self._has_changed = True
+        since_ms = now_ms - _evidence.MAX_AGE_MS
+        for key, crash in list(self._crash_by_key.items()):
+            if crash.at_ms < since_ms:
+                del self._crash_by_key[key]
+        for part, sound_ms in list(self._sound_ms_by_part.items()):
+            if sound_ms < since_ms:
+                del self._sound_ms_by_part[part]
+
+    def _service(self, since_ms: clock.Millis) -> int:
+        """Return the settled answers of all nodes that began since a time."""
+        total = 0
+        for counts, reported_ms in self._service_by_node.values():
+            for index, count in enumerate(counts):
+                oldest_ms = (index + 1) * _evidence.SERVICE_INTERVAL_MS
+                if reported_ms - oldest_ms >= since_ms:
+                    total += count
+        return total
+
+    def _runs(self) -> dict[str, _Run]:
+        """Return the crashes by part, since its last settled answer.
+
+        Where an answer had begun at a crashed target, those that had not, or
+        were written already, are not its cause.
+        """
+        crashes = self._crash_by_key.values()
+        begun_targets = {
+            crash.target
+            for crash in crashes
+            if crash.weight >= _evidence.BEGUN_WEIGHT
+        }
+        runs: typing.DefaultDict[str, _Run] = collections.defaultdict(_Run)
+        for crash in crashes:
+            if (
+                crash.weight < _evidence.BEGUN_WEIGHT
+                and crash.target in begun_targets
+            ):
+                continue
+            for part in crash.parts:
+                sound_ms = self._sound_ms_by_part.get(part)
+                if sound_ms is None or crash.at_ms >= sound_ms:
+                    runs[part].crashes.append(crash)
+        return runs
--- a/packages/core/tests/coordination/builders.py
+++ b/packages/core/tests/coordination/builders.py
@@ -37,6 +37,18 @@
     )
 
 
+def crash_report() -> coordination.CrashReport:
+    """Return a report of one crash, one sound part and one block."""
+    return coordination.CrashReport(
+        "b",
+        3,
+        (coordination.CrashRow("r", "t/1", ("p", "q"), 2, 40),),
+        (coordination.SoundRow("q", 900),),
+        (3, 0, 1),
+        (("s",),),
+    )
+
+
 def record(offset: int, size: int = 10) -> coordination.RelayedRecord:
     """Return a record of about `size` bytes."""
     return coordination.RelayedRecord(offset, "k", "v" * (size - 1))
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -1,5 +1,6 @@
 """Tests for the coordinator's election and the nodes' messages."""
 
+import contextlib
 import json
 import random
 import unittest
@@ -200,6 +201,13 @@
             attrs.evolve(builders.view(), groups=None),
             coordination.Relay("a", 3, "a:1", 5_000, store, True),
             builders.status(),
+            builders.crash_report(),
+            coordination.QuarantineView(
+                "a",
+                3,
+                ("p",),
+                (coordination.BlockRow(("p", "q"), True),),
+            ),
         ):
             data = coordination.encode(message)
             self.assertEqual(message, coordination.decode(data))
@@ -234,6 +242,20 @@
                 with self.assertRaises(ValueError):
                     coordination.decode(data.encode())
 
+    def test_evidence_of_a_wrong_type_is_refused(self) -> None:
+        """A node's report must not end the holder's process."""
+        rows = [
+            ["crashes", "b", 3, [["r", "t", ["p"], 2, 1]], [], [], []],
+            ["quarantine", "a", 3, ["p"], [[["p"], True]]],
+        ]
+        for row in rows:
+            coordination.decode(json.dumps(row).encode())
+            for index in range(2, len(row)):
+                for value in (None, "x", 1.5, {}, [1], [[1]], [None], 1e400):
+                    changed = [*row[:index], value, *row[index + 1 :]]
+                    with contextlib.suppress(ValueError):
+                        coordination.decode(json.dumps(changed).encode())
+
     def test_nested_message_is_refused(self) -> None:
         """Deeply nested JSON must not end in another error."""
         with self.assertRaises(ValueError):
--- /dev/null
+++ b/packages/core/tests/quarantine/test_quarantine.py
@@ -0,0 +1,222 @@
+"""Tests of finding the part of a prompt under which targets crash."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+from quarantine import builders
+
+from quetzalward_core import quarantine
+
+NOW_MS = 10_000
+
+
+def find(correlator: quarantine.Correlator) -> frozenset[str] | None:
+    """Return what is found after the nodes have answered."""
+    return correlator.find(NOW_MS, builders.ANSWER_MS)
+
+
+class CorrelatorTest(unittest.TestCase):
+    """Guards against blame of sound parts, and against missed causes."""
+
+    def crashes(self, count: int, *parts: str) -> list[quarantine.Crash]:
+        """Return crashes at different times under the same parts."""
+        return [builders.crash(9_000 + 150 * n, *parts) for n in range(count)]
+
+    def test_part_of_three_incidents_is_found(self) -> None:
+        """Three targets that crashed in turn are enough, two are not."""
+        for count, found in ((2, None), (3, frozenset({"bad"}))):
+            correlator = builders.correlator(*self.crashes(count, "bad"))
+            self.assertEqual(found, find(correlator))
+
+    def test_part_that_settled_since_is_not_blamed(self) -> None:
+        """The first part is shared with requests that were answered."""
+        correlator = builders.correlator(*self.crashes(5, "hot", "bad"))
+        correlator.add_sound("hot", 9_900)
+        self.assertEqual(frozenset({"bad"}), find(correlator))
+
+    def test_rare_first_part_is_not_blamed_with_the_cause(self) -> None:
+        """A part that settled before, but not since, is shared as well."""
+        correlator = builders.correlator(*self.crashes(5, "rare", "bad"))
+        correlator.add_sound("rare", 8_000)
+        self.assertEqual(frozenset({"bad"}), find(correlator))
+
+    def test_parts_that_came_together_are_blocked_together(self) -> None:
+        """Sound prompts with one of them pass, until one stands alone."""
+        crashes = self.crashes(3, "new", "bad")
+        correlator = builders.correlator(*crashes)
+        both = frozenset({"new", "bad"})
+        self.assertEqual(both, find(correlator))
+        correlator = builders.correlator(
+            *crashes, builders.crash(9_700, "other", "bad")
+        )
+        self.assertEqual(frozenset({"bad"}), find(correlator))
+
+    def test_crashes_at_one_moment_count_once(self) -> None:
+        """A zone or a rack ends with requests of a hot part at each target."""
+        correlator = builders.correlator(
+            *(builders.crash(9_500 + n % 20, "hot") for n in range(40))
+        )
+        self.assertIsNone(find(correlator))
+
+    def test_one_request_alone_proves_nothing(self) -> None:
+        """A request that is repeated may meet one failing target each time."""
+        correlator = builders.correlator(
+            *(
+                builders.crash(9_000 + 150 * n, "p", request="same")
+                for n in range(6)
+            )
+        )
+        self.assertIsNone(find(correlator))
+
+    def test_waiting_requests_weigh_less(self) -> None:
+        """Most requests that a crash cuts off had not begun."""
+        waiting = [
+            builders.crash(
+                8_500 + 150 * n, "p", weight=quarantine.CONTEXT_WEIGHT
+            )
+            for n in range(6)
+        ]
+        self.assertIsNone(find(builders.correlator(*waiting[:5])))
+        self.assertEqual(frozenset({"p"}), find(builders.correlator(*waiting)))
+
+    def test_more_is_asked_while_other_answers_are_cut_off_too(self) -> None:
+        """With targets crashing everywhere, three in a row are chance."""
+        others = [builders.crash(9_000, f"other{n}") for n in range(20)]
+        crashes = self.crashes(6, "p")
+        self.assertIsNone(find(builders.correlator(*crashes[:4], *others)))
+
+    def test_nothing_settled_is_blamed_while_nothing_is_served(self) -> None:
+        """All targets are gone: the part of all requests is not the cause."""
+        correlator = builders.correlator(*self.crashes(6, "hot"), service=0)
+        correlator.add_sound("hot", 1_000)
+        self.assertIsNone(find(correlator))
+
+    def test_nodes_are_asked_before_a_part_is_blamed(self) -> None:
+        """Settled answers of other nodes are known only after that."""
+        correlator = builders.correlator(*self.crashes(5, "p"))
+        self.assertIsNone(correlator.find(NOW_MS - 1, builders.ANSWER_MS))
+
+    def test_innocents_of_explained_crashes_are_cleared(self) -> None:
+        """What a cause cut off is no evidence, also if reported later."""
+        crashes = self.crashes(4, "bad")
+        neighbours = [
+            builders.crash(c.at_ms, "near", target=c.target) for c in crashes
+        ]
+        correlator = builders.correlator(*crashes, *neighbours[:2])
+        correlator.explain(frozenset({"bad"}))
+        for late in neighbours[2:]:
+            correlator.add_crash(late)
+        self.assertEqual((), correlator.suspects(NOW_MS))
+        self.assertIsNone(find(correlator))
+
+    def test_reports_are_repeated_without_effect(self) -> None:
+        """A node repeats a crash until the holder must have received it."""
+        crash = builders.crash(9_000, "p")
+        correlator = builders.correlator(*[crash] * 10)
+        self.assertEqual((), correlator.suspects(NOW_MS))
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 9_900),
+                st.sets(st.sampled_from("abcd"), min_size=1),
+                st.sampled_from((1, 2)),
+            ),
+            max_size=30,
+        ),
+        st.dictionaries(st.sampled_from("abcd"), st.integers(0, 10_000)),
+    )
+    def test_found_parts_were_in_crashes_and_did_not_settle_since(
+        self,
+        rows: list[tuple[int, set[str], int]],
+        sound_ms_by_part: dict[str, int],
+    ) -> None:
+        """Whatever the evidence, a part that settled last is not blamed."""
+        correlator = builders.correlator(
+            *(
+                builders.crash(at_ms, *sorted(parts), weight=weight)
+                for at_ms, parts, weight in rows
+            )
+        )
+        for part, sound_ms in sound_ms_by_part.items():
+            correlator.add_sound(part, sound_ms)
+        found = find(correlator)
+        if found is None:
+            return
+        self.assertTrue(found)
+        for part in found:
+            last_ms = max(at for at, parts, _ in rows if part in parts)
+            self.assertLessEqual(sound_ms_by_part.get(part, 0), last_ms)
+
+
+class EvidenceLogTest(unittest.TestCase):
+    """Guards against memory without bound and suspicion without end."""
+
+    def test_suspicion_needs_two_targets_since_the_last_answer(self) -> None:
+        """One crash is bad luck; a settled answer ends the suspicion."""
+        log = quarantine.EvidenceLog()
+        log.record_crash(builders.crash(1_000, "p"))
+        self.assertFalse(log.is_suspect("p", 1_100))
+        log.record_crash(builders.crash(1_200, "p"))
+        self.assertTrue(log.is_suspect("p", 1_300))
+        self.assertFalse(log.is_suspect("p", 20_000))
+        log.record_sound(["p"], 1_250)
+        self.assertFalse(log.is_suspect("p", 1_800))
+
+    def test_memory_is_bounded(self) -> None:
+        """Callers may send ever new parts, and many in one prompt."""
+        log = quarantine.EvidenceLog()
+        many = [f"p{n}" for n in range(1_000)]
+        for n in range(3_000):
+            log.record_crash(builders.crash(n, *many))
+            log.record_sound([f"s{n}", f"u{n}"], n)
+        crashes = log.crashes_since(0)
+        self.assertLessEqual(len(crashes), 512)
+        self.assertLessEqual(max(len(c.parts) for c in crashes), 64)
+        self.assertIsNone(log.sound_ms("s0"))
+        self.assertEqual(2_999, log.sound_ms("s2999"))
+
+    def test_answers_are_counted_by_the_age_of_their_beginning(self) -> None:
+        """What began before the first crash does not show service since."""
+        log = quarantine.EvidenceLog()
+        for began_ms in (0, 1_000, 7_600, 8_900, 9_000, 9_010):
+            log.record_sound([], began_ms)
+        self.assertEqual((3, 0, 1, 0, 0, 0), log.sound_counts(9_000))
+
+
+class QuarantineTest(unittest.TestCase):
+    """Guards against refusing prompts that only share some parts."""
+
+    def test_prompt_with_all_parts_of_a_block_is_refused(self) -> None:
+        """Other parts do not matter."""
+        blocks = quarantine.Quarantine()
+        blocks.add(quarantine.Block(frozenset({"a", "b"})))
+        self.assertIsNone(blocks.blocking(("a", "c")))
+        self.assertIsNone(blocks.blocking(()))
+        self.assertIsNotNone(blocks.blocking(("c", "b", "a")))
+
+    def test_oldest_block_is_dropped_beyond_the_limit(self) -> None:
+        """A caller may invent parts under which targets crash."""
+        blocks = quarantine.Quarantine()
+        dropped = [
+            blocks.add(quarantine.Block(frozenset({str(n)})))
+            for n in range(quarantine.MAX_BLOCKS + 1)
+        ]
+        self.assertEqual([None] * quarantine.MAX_BLOCKS, dropped[:-1])
+        assert dropped[-1] is not None
+        self.assertEqual(frozenset({"0"}), dropped[-1].parts)
+
+    def test_saved_block_stays_saved(self) -> None:
+        """A later message of a node that does not know must not undo it."""
+        blocks = quarantine.Quarantine()
+        parts = frozenset({"a"})
+        blocks.add(quarantine.Block(parts, True))
+        blocks.add(quarantine.Block(parts))
+        self.assertTrue(blocks.blocks[0].saved)
+        self.assertTrue(blocks.remove(parts))
+        self.assertFalse(blocks.remove(parts))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gateway/src/quetzalward_gateway/_attempts.py
+++ b/packages/gateway/src/quetzalward_gateway/_attempts.py
@@ -55,6 +55,9 @@
     head: _ports.TargetAnswer | None = None
     body: bytes = b""
     target_id: str = ""
+    # Whether the connection ended, or the target fell silent, before the
+    # response was complete.
+    is_cut: bool = False
 
 
 def check_response_head(
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -11,6 +11,7 @@
 from quetzalward_gateway import _node_reports
 from quetzalward_gateway import _operations
 from quetzalward_gateway import _peers
+from quetzalward_gateway import _quarantine_control
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _settings
 from quetzalward_gateway import _target_entries
@@ -56,7 +57,10 @@
         self._targets = targets
         self._runtime = runtime
         self._settings = settings
-        self._terms = _terms.TermKeeper(runtime, settings)
+        self._quarantine = _quarantine_control.QuarantineControl(
+            runtime, settings.node
+        )
+        self._terms = _terms.TermKeeper(runtime, settings, self._quarantine)
         self._socket = _peers.PeerSocket(self._handle_message, runtime.log)
         self._reports = _node_reports.NodeReports()
         self._groups = _group_control.GroupControl(
@@ -96,20 +100,28 @@
             self._follow_term()
             if self.is_holder:
                 self._groups.run(now_ms)
+                self._quarantine.run(
+                    now_ms, self._runtime.state.message_interval_ms()
+                )
             self._send_due(now_ms)
 
     def _follow_term(self) -> None:
         """Begin or end coordinating when a term has begun or ended."""
+        now_ms = self._runtime.now_ms()
+        known = self._terms.election.term
+        self._quarantine.follow_term(known.number if known else 0, now_ms)
         term = self._terms.number if self.is_holder else 0
         if term == self._coordinated_term:
             return
         if self._coordinated_term:
             self._runtime.log.event("duty_lost", term=self._coordinated_term)
             self._groups.end_term()
+            self._quarantine.end_term()
         self._reports.clear()
         self._coordinated_term = term
         if term:
             self._groups.begin_term(term)
+            self._quarantine.begin_term(now_ms)
             # The other nodes learn of the term from the first message.
             self._runtime.state.relay_now = True
 
@@ -130,6 +142,15 @@
             if self.is_holder:
                 self._reports.record(message, sender, now_ms)
             return
+        if isinstance(message, coordination.CrashReport):
+            if self.is_holder:
+                self._quarantine.record(message, now_ms)
+            return
+        if isinstance(message, coordination.QuarantineView):
+            known = election.term
+            if known is not None and known.number == message.term:
+                self._quarantine.apply_view(message)
+            return
         term = coordination.Term(message.term, message.node, message.address)
         if not election.accept_holder_message(
             term, now_ms, message.is_leaving
@@ -180,12 +201,14 @@
             self._last_sent_ms = now_ms
             self._send(now_ms)
         elif self.is_holder and (
-            state.relay_now
+            self._quarantine.has_changed
+            or state.relay_now
             or now_ms - self._last_relayed_ms >= state.relay_interval_ms()
         ):
             state.relay_now = False
             self._last_relayed_ms = now_ms
             self._send_to_nodes(now_ms, None)
+            self._send_quarantine(now_ms)
 
     def _send(self, now_ms: clock.Millis) -> None:
         """Send a status to the holder or, as the holder, a view to all."""
@@ -204,10 +227,22 @@
             state.relay_now = False
             self._last_relayed_ms = now_ms
             self._send_to_nodes(now_ms, view)
+            self._send_quarantine(now_ms)
         elif term is not None and term.address:
-            self._socket.send(
-                coordination.encode(status), _parse_address(term.address)
-            )
+            holder = _parse_address(term.address)
+            self._socket.send(coordination.encode(status), holder)
+            report = self._quarantine.report(term.number, now_ms)
+            if report is not None:
+                self._socket.send(coordination.encode(report), holder)
+
+    def _send_quarantine(self, now_ms: clock.Millis) -> None:
+        """Send suspects and blocks to all other nodes if that is due."""
+        view = self._quarantine.view_due(self._terms.number, now_ms)
+        if view is None:
+            return
+        data = coordination.encode(view)
+        for recipient in self._recipients(now_ms):
+            self._socket.send(data, recipient.address)
 
     def _known(self) -> coordination.Known:
         """Return what this node has applied of the holder's state."""
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -10,6 +10,7 @@
 from quetzalward_core import fleet
 from quetzalward_core import grouping
 from quetzalward_core import placing
+from quetzalward_core import quarantine
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _settings
 
@@ -64,6 +65,8 @@
         self.directory = fleet.Directory()
         self.freshness = fleet.Freshness(settings.bounds.revoke_ms)
         self.outcomes = placing.OutcomeTracker()
+        self.evidence = quarantine.EvidenceLog()
+        self.quarantine = quarantine.Quarantine()
         self.cold_start_budget = placing.ColdStartBudget(settings.node)
         self._retry_budget_by_service: dict[str, placing.RetryBudget] = {}
         self.load_by_group: dict[GroupKey, placing.GroupLoad] = {}
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -7,6 +7,7 @@
 
 from quetzalward_core import clock
 from quetzalward_core import placing
+from quetzalward_core import quarantine
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _events
@@ -34,6 +35,10 @@
     longest_gap_ms: clock.Millis = 0
 
 
+def _cut(result: _Result, reason: str) -> _Attempt:
+    return _Attempt(result, reason, is_cut=True)
+
+
 def _is_event_stream(head: _http.ResponseHead) -> bool:
     return any(
         name == b"content-type" and value.startswith(b"text/event-stream")
@@ -61,6 +66,8 @@
         # When this attempt's response and its first event arrived.
         self.response_ms: clock.Millis | None = None
         self.first_event_ms: clock.Millis | None = None
+        # Whether the answer was written long enough, or to its end.
+        self._has_settled = False
 
     @property
     def phase(self) -> _attempts.Phase:
@@ -143,14 +150,12 @@
             if answer.status >= 300 or not _is_event_stream(head):
                 return await self._receive_response(http, answer)
             return await self._relay_events(http, answer, head.is_framed)
-        except (
-            _channel.ChannelReset,
-            _events.EventTooLarge,
-            _http.ProtocolError,
-        ) as error:
-            return _Attempt(
+        except (_channel.ChannelReset, _http.ProtocolError) as error:
+            return _cut(
                 _Result.BROKEN, f"incomplete or invalid response: {error}"
             )
+        except _events.EventTooLarge as error:
+            return _Attempt(_Result.BROKEN, str(error))
         except _events.EventGap as error:
             return _Attempt(_Result.GAP, str(error))
 
@@ -218,11 +223,13 @@
                 responder.start_stream(answer.status, answer.forwarded)
             await responder.send_chunk(b"".join(to_forward))
         if not splitter.is_at_event_boundary:
-            return _Attempt(_Result.BROKEN, "the stream ended within an event")
+            return _cut(_Result.BROKEN, "the stream ended within an event")
         if not is_framed and self.first_event_ms is None:
             # The end of the connection is all that ends such a body, and a
             # target that crashes ends it, too.
-            return _Attempt(_Result.BROKEN, "the stream ended before an event")
+            return _cut(_Result.BROKEN, "the stream ended before an event")
+        if is_framed:
+            self._settle()
         if not responder.started:
             responder.start_stream(answer.status, answer.forwarded)
         responder.finish()
@@ -242,11 +249,35 @@
         load.record_own_event(now_ms)
         if self.first_event_ms is None:
             self.first_event_ms = now_ms
+        elif now_ms - self.first_event_ms >= quarantine.SETTLED_MS:
+            self._settle()
         if self._call.responder.started:
             gap_ms = now_ms - progress.last_event_ms
             progress.longest_gap_ms = max(progress.longest_gap_ms, gap_ms)
         progress.last_event_ms = now_ms
 
+    def _settle(self) -> None:
+        """Record that the prompt does not crash the target."""
+        if self._has_settled or self.response_ms is None:
+            return
+        self._has_settled = True
+        self._state.evidence.record_sound(
+            self._call.request.shared_parts,
+            self.response_ms,
+        )
+
+    def crash_weight(self, attempt: _Attempt) -> int:
+        """Return the weight as evidence that the prompt crashes targets."""
+        if not attempt.is_cut or self._has_settled:
+            return 0
+        if self.phase is _attempts.Phase.BEGUN:
+            return quarantine.BEGUN_WEIGHT
+        if self.first_event_ms is not None:
+            written_ms = self._call.runtime.now_ms() - self.first_event_ms
+            if written_ms >= quarantine.SETTLED_MS:
+                return 0
+        return quarantine.CONTEXT_WEIGHT
+
     async def _receive_part(
         self,
         receive: collections.abc.Callable[
@@ -273,14 +304,14 @@
             except _channel.ChannelTimeout:
                 now_ms = call.runtime.now_ms()
                 if load.lost:
-                    return _Attempt(
+                    return _cut(
                         _Result.STALLED,
                         "the coordinator has given up the group's epoch",
                     )
                 if load.suspected or load.has_stalled(
                     full_load_pass_ms, now_ms
                 ):
-                    return _Attempt(
+                    return _cut(
                         _Result.STALLED,
                         "the group has stalled or is a suspect",
                     )
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -7,6 +7,7 @@
 from quetzalward_core import clock
 from quetzalward_core import errors
 from quetzalward_core import placing
+from quetzalward_core import quarantine
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _events
 from quetzalward_gateway import _runtime
@@ -28,6 +29,12 @@
 MIN_REMAINING_MS = 20
 # Time in which a group that lost a member is usually formed again.
 NO_TARGET_RETRY_AFTER_MS = 400
+# Wait before the second attempt of a request whose target crashed when it
+# began to answer. Meanwhile the nodes tell each other of such crashes, so that
+# requests with the same part are not sent to twice as many targets.
+EVIDENCE_WAIT_MS = 120
+# A block stays until an operator lifts it.
+BLOCKED_RETRY_AFTER_MS = 3_600_000
 
 _Attempt = _attempts.Attempt
 _Result = _attempts.Result
@@ -56,6 +63,9 @@
             if self._call.remaining_ms() <= MIN_REMAINING_MS:
                 last = attrs.evolve(last, result=_Result.TIMEOUT)
                 break
+            if self._is_blocked():
+                self._end_blocked()
+                return
             place = await self._find_place()
             if isinstance(place, placing.Refusal):
                 self._end_refused(place)
@@ -76,8 +86,18 @@
                 self._record_completion(place)
                 return
             self._log_failure(place, last, attempt.phase)
+            crash_weight = attempt.crash_weight(last)
+            if crash_weight:
+                self._record_crash(place, crash_weight)
             if not self._may_retry(last):
                 break
+            if crash_weight == quarantine.BEGUN_WEIGHT:
+                await asyncio.sleep(EVIDENCE_WAIT_MS / clock.MILLIS_PER_SECOND)
+                if self._is_suspect():
+                    last = attrs.evolve(
+                        last, reason="targets crashed under a part of it"
+                    )
+                    break
         self._end_failed(last)
 
     async def _find_place(self) -> _state.StreamPlacement | placing.Refusal:
@@ -116,6 +136,36 @@
         elif last.result is not _Result.UNREACHABLE:
             self._executed_attempts += 1
 
+    def _record_crash(
+        self, place: _state.StreamPlacement, weight: int
+    ) -> None:
+        """Record that a target crashed before the answer had settled."""
+        request = self._call.request
+        name, epoch = place.group.head.id, place.group.entry.epoch
+        self._state.evidence.record_crash(
+            quarantine.Crash(
+                request.attempt_id.decode("latin-1"),
+                f"{name}/{epoch}",
+                request.shared_parts,
+                weight,
+                self._call.runtime.now_ms(),
+            )
+        )
+        self._state.send_message_now = True
+
+    def _is_suspect(self) -> bool:
+        """Tell whether targets crashed under a part of the prompt before."""
+        now_ms = self._call.runtime.now_ms()
+        return any(
+            part in self._state.quarantine.suspects
+            or self._state.evidence.is_suspect(part, now_ms)
+            for part in self._call.request.shared_parts
+        )
+
+    def _is_blocked(self) -> bool:
+        parts = self._call.request.shared_parts
+        return self._state.quarantine.blocking(parts) is not None
+
     def _may_retry(self, last: _Attempt) -> bool:
         """Tell whether another attempt may follow a failed one."""
         if last.result in (_Result.TIMEOUT, _Result.GAP):
@@ -203,6 +253,18 @@
                 )
             )
 
+    def _end_blocked(self) -> None:
+        """End a request whose prompt is blocked."""
+        reason = "targets crashed under a part of the prompt"
+        if self._call.responder.started:
+            self._abort(reason)
+            return
+        kind = errors.ErrorKind.PROMPT_BLOCKED
+        retry_after_ms: clock.Millis | None = BLOCKED_RETRY_AFTER_MS
+        if self._executed_attempts:
+            kind, retry_after_ms = errors.ErrorKind.TARGET_FAILED, None
+        self._call.refuse(_runtime.Refused(kind, reason, retry_after_ms))
+
     def _end_failed(self, last: _Attempt) -> None:
         if self._call.responder.started:
             self._abort(last.reason)
--- a/packages/gateway/src/quetzalward_gateway/_terms.py
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -7,6 +7,7 @@
 from quetzalward_core import clock
 from quetzalward_core import coordination
 from quetzalward_gateway import _ports
+from quetzalward_gateway import _quarantine_control
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _settings
 
@@ -44,9 +45,13 @@
     """Keeps track of the term; at most one call to the store at a time."""
 
     def __init__(
-        self, runtime: _runtime.Runtime, settings: _settings.Settings
+        self,
+        runtime: _runtime.Runtime,
+        settings: _settings.Settings,
+        quarantine: _quarantine_control.QuarantineControl,
     ) -> None:
         """Start without a known term."""
+        self._quarantine = quarantine
         self._runtime = runtime
         self._settings = settings
         self.election = make_election(settings, runtime.now_ms())
@@ -75,6 +80,8 @@
             if self.is_holder
             else self._read_interval_ms
         )
+        if self.is_holder and self._quarantine.next_write() is not None:
+            interval_ms = self._read_interval_ms
         if now_ms - self._last_read_ms < interval_ms:
             return
         if self.is_holder or self.election.should_read_store(now_ms):
@@ -94,7 +101,11 @@
             self._read_interval_ms = STORE_RETRY_MS
             term = self._decode(page)
             claim = self.election.update_from_store(term, runtime.now_ms())
-            if was_holder or not claim:
+            self._quarantine.apply_records(page.records, was_holder)
+            if was_holder:
+                await self._write_block(page.end)
+                return
+            if not claim:
                 return
             value = {
                 "node": self._settings.node,
@@ -111,6 +122,17 @@
             return
         self._begin(offset + 1)
 
+    async def _write_block(self, end: int) -> None:
+        """Append one of the blocks that the store does not have yet."""
+        write = self._quarantine.next_write()
+        if write is None or not self.is_holder:
+            return
+        runtime = self._runtime
+        key, value = write
+        topic = runtime.platform.election_topic
+        await runtime.platform.store.append(topic, key, value, end)
+        self._quarantine.confirm_write(key)
+
     def _decode(self, page: _ports.Page) -> coordination.Term | None:
         for record in page.records:
             if record.key != _TERM_KEY or record.value is None:
--- a/packages/gateway/tests/test_stream_attempt.py
+++ b/packages/gateway/tests/test_stream_attempt.py
@@ -1,6 +1,8 @@
 """Tests of one attempt at a stream: how answers end, and what that says."""
 
 import asyncio
+import socket
+import struct
 import typing
 import unittest
 
@@ -9,6 +11,7 @@
 
 from quetzalward_core import coordination
 from quetzalward_core import fleet
+from quetzalward_core import quarantine
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _events
 from quetzalward_gateway import _state
@@ -84,9 +87,12 @@
         """A target that crashes closes its connection as well."""
         for data in (head(b""), head(CHUNKED)):
             with self.subTest(data=data):
-                _, result, call = self.run_one(data, False)
+                stream, result, call = self.run_one(data, False)
                 self.assertIs(_attempts.Result.BROKEN, result.result)
                 self.assertFalse(call.responder.started)
+                self.assertEqual(
+                    quarantine.BEGUN_WEIGHT, stream.crash_weight(result)
+                )
 
     def test_reset_is_a_break_with_any_framing(self) -> None:
         """A reset does not end a body."""
@@ -110,5 +116,62 @@
                 self.assertEqual(EVENT, call.responder.body)
 
 
+class EvidenceTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against evidence from attempts that show nothing."""
+
+    async def end(self, *steps: tuple[bytes, float]) -> tuple[int, bool]:
+        """Return the weight of a stream and whether its part is sound.
+
+        The target sends each step's bytes, waits, and then crashes.
+        """
+
+        async def send(writer: asyncio.StreamWriter) -> None:
+            for data, pause_s in steps:
+                writer.write(data)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+        target = hostile_targets.HostileTarget(send)
+        stream, result, call = await attempt(target)
+        is_sound = call.runtime.state.evidence.sound_ms("p") is not None
+        return stream.crash_weight(result), is_sound
+
+    async def test_weight_by_phase(self) -> None:
+        """An answer that had begun weighs most, one that settled nothing."""
+        begin = head(CHUNKED)
+        settled_s = quarantine.SETTLED_MS / 1_000 + 0.1
+        events = [chunk(EVENT.replace(b"1", b"%d" % n)) for n in (1, 2)]
+        self.assertEqual((1, False), await self.end((b"", 0.05)))
+        self.assertEqual((2, False), await self.end((begin, 0.05)))
+        self.assertEqual((1, False), await self.end((begin + events[0], 0.05)))
+        self.assertEqual(
+            (0, True),
+            await self.end((begin + events[0], settled_s), (events[1], 0.05)),
+        )
+
+    async def test_complete_answer_makes_its_parts_sound(self) -> None:
+        """Without a length or chunks, a crash could have ended it."""
+        whole = head(CHUNKED) + chunk(EVENT) + b"0\r\n\r\n"
+        for data, expected in ((whole, True), (head(b"") + EVENT, False)):
+            target = hostile_targets.broken_off(data, False)
+            stream, result, call = await attempt(target)
+            evidence = call.runtime.state.evidence
+            self.assertEqual(expected, evidence.sound_ms("p") is not None)
+            self.assertEqual(0, stream.crash_weight(result))
+
+    async def test_refusal_and_garbage_are_no_evidence(self) -> None:
+        """The target did not end."""
+        for data in (
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+            head(CHUNKED) + chunk(b"x" * (_events.MAX_EVENT_BYTES + 1)),
+        ):
+            target = hostile_targets.broken_off(data, False)
+            stream, result, _ = await attempt(target)
+            self.assertEqual(0, stream.crash_weight(result))
+
+
 if __name__ == "__main__":
     unittest.main()
