Bound what messages about crashing prompts cost

Nodes now answer at most every 250 ms while they are asked, suspects go out with the regular messages, and only a new block is sent at once. The holder concludes every 100 ms and only about parts on which the nodes had time to answer.

--- a/packages/core/src/quetzalward_core/quarantine/_correlator.py
+++ b/packages/core/src/quetzalward_core/quarantine/_correlator.py
@@ -161,13 +161,18 @@
         that never settled, since sound requests share the others; if all did
         settle once, those that did not since.
         """
-        if not self._suspects:
+        answered = [
+            part
+            for part, asked_ms in self._asked_ms_by_part.items()
+            if now_ms - asked_ms >= answer_ms
+        ]
+        if not answered:
             return None
         runs = self._runs()
         found: list[tuple[bool, float, int, str]] = []
-        for part, asked_ms in self._asked_ms_by_part.items():
+        for part in answered:
             run = runs.get(part)
-            if run is None or now_ms - asked_ms < answer_ms:
+            if run is None:
                 continue
             has_settled = part in self._sound_ms_by_part
             chance_log = self._chance_log(run, now_ms)
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -201,7 +201,7 @@
             self._last_sent_ms = now_ms
             self._send(now_ms)
         elif self.is_holder and (
-            self._quarantine.has_changed
+            self._quarantine.is_urgent
             or state.relay_now
             or now_ms - self._last_relayed_ms >= state.relay_interval_ms()
         ):
--- a/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
@@ -13,12 +13,16 @@
 # Time for which a node repeats a crash in its reports. After a change of the
 # holder it sends all that it has for as long.
 REPORT_MS = 3_000
+# Interval at which a node reports while the holder asks about suspects. They
+# are common for a moment after an outage, and few nodes know more by then.
+ANSWER_INTERVAL_MS = 250
 # Time for which a changed view is repeated in each interval.
 REPEAT_MS = 1_500
 # Interval of unchanged views with blocks, for nodes that have just started.
 KEEPALIVE_MS = 1_000
-# Time, beyond two messages of each node, to report settled answers.
+# Time, beyond a message of the holder, to report settled answers.
 ANSWER_MARGIN_MS = 100
+CONCLUDE_INTERVAL_MS = 100
 EXPIRY_INTERVAL_MS = 1_000
 # Key prefix of the blocks in the topic of the election, which the holder reads
 # each second anyway.
@@ -49,6 +53,8 @@
         self._term_began_ms: clock.Millis = 0
         self._reported_ms: clock.Millis = 0
         # As the holder.
+        self._is_urgent = False
+        self._concluded_ms: clock.Millis = 0
         self._changed_ms: clock.Millis = 0
         self._sent_ms: clock.Millis = 0
         self._expired_ms: clock.Millis = 0
@@ -78,8 +84,13 @@
             for block in self._quarantine.blocks
             if not block.saved and block.parts not in known
         )
-        if not crashes and not self._quarantine.suspects and not blocks:
+        is_asked = (
+            bool(self._quarantine.suspects)
+            and now_ms - self._reported_ms >= ANSWER_INTERVAL_MS
+        )
+        if not crashes and not is_asked and not blocks:
             return None
+        self._reported_ms = now_ms
         parts = set(self._quarantine.suspects)
         parts.update(part for crash in crashes for part in crash.parts)
         sound = [(part, self._evidence.sound_ms(part)) for part in parts]
@@ -162,9 +173,11 @@
         correlator = self._correlator
         if correlator is None:
             return
+        if now_ms - self._concluded_ms < CONCLUDE_INTERVAL_MS:
+            return
+        self._concluded_ms = now_ms
         own = self.report(self._term, now_ms)
-        if own is not None and now_ms - self._reported_ms >= ANSWER_MARGIN_MS:
-            self._reported_ms = now_ms
+        if own is not None:
             self.record(own, now_ms)
         if now_ms - self._expired_ms >= EXPIRY_INTERVAL_MS:
             self._expired_ms = now_ms
@@ -174,7 +187,7 @@
             self._suspects = suspects
             self._quarantine.suspects = frozenset(suspects)
             self._changed_ms = now_ms
-        answer_ms = 2 * message_interval_ms + ANSWER_MARGIN_MS
+        answer_ms = message_interval_ms + ANSWER_INTERVAL_MS + ANSWER_MARGIN_MS
         parts = correlator.find(now_ms, answer_ms)
         if parts is not None:
             self._conclude(correlator, parts, now_ms)
@@ -203,6 +216,7 @@
 
     def _add(self, parts: frozenset[str], now_ms: clock.Millis) -> None:
         self._changed_ms = now_ms
+        self._is_urgent = True
         self._runtime.metrics.count("blocked_prompts")
         dropped = self._quarantine.add(quarantine.Block(parts))
         if dropped is not None:
@@ -229,6 +243,7 @@
             if not is_needed or now_ms - self._sent_ms < KEEPALIVE_MS:
                 return None
         self._sent_ms = now_ms
+        self._is_urgent = False
         return coordination.QuarantineView(
             self._node,
             term,
@@ -240,9 +255,9 @@
         )
 
     @property
-    def has_changed(self) -> bool:
-        """Tell whether a change has not been sent yet."""
-        return self._changed_ms > self._sent_ms
+    def is_urgent(self) -> bool:
+        """Tell whether there is a new block that has not been sent yet."""
+        return self._is_urgent
 
     # Records of the store.
 
@@ -256,6 +271,8 @@
                 continue
             try:
                 parts = json.loads(record.value)["parts"]
+                if not isinstance(parts, list):
+                    raise TypeError("parts is not a list")
                 stored.add(frozenset(str(part) for part in parts))
             except (ValueError, KeyError, TypeError, RecursionError) as error:
                 self._runtime.log.event(
