Send a request of the node to three replicas that break off at most

A request under which replicas crash ended all of them. The new tests failed before: 8 of 8 engines and 6 of 6 services were sent the request; now 3.

Only attempts that ended without a whole response count; refusals and error statuses are retried as before. What a node learns of such a request is still not told to other nodes of this kind: their messages carry no parts of prompts. That stays open.

--- a/packages/node/src/quetzalward_node/callers/_engine.py
+++ b/packages/node/src/quetzalward_node/callers/_engine.py
@@ -27,7 +27,8 @@
     """An attempt ended without a complete response.
 
     `sent` is true if the engine may have started; `error` is reported to the
-    caller if there is no further attempt; `final` rules out a retry.
+    caller if there is no further attempt; `final` rules out a retry; `is_cut`
+    is true if the engine ended the connection before a whole response.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         error: errors.QuetzalwardError,
         sent: bool,
         final: bool = False,
+        is_cut: bool = False,
     ) -> None:
         """Create the error with the detail of `error` as its message."""
         super().__init__(error.detail)
@@ -43,6 +45,7 @@
         self.error = error
         self.sent = sent
         self.final = final
+        self.is_cut = is_cut
 
 
 def _failed(detail: str, sent: bool = True) -> AttemptFailedError:
@@ -50,6 +53,13 @@
     return AttemptFailedError(interfaces.AttemptResult.FAILED, error, sent)
 
 
+def _cut(detail: str) -> AttemptFailedError:
+    error = errors.QuetzalwardError(errors.ErrorKind.TARGET_FAILED, detail)
+    return AttemptFailedError(
+        interfaces.AttemptResult.FAILED, error, sent=True, is_cut=True
+    )
+
+
 def _timed_out(detail: str) -> AttemptFailedError:
     error = errors.QuetzalwardError(errors.ErrorKind.TARGET_TIMEOUT, detail)
     return AttemptFailedError(interfaces.AttemptResult.TIMED_OUT, error, True)
@@ -126,9 +136,7 @@
         while not self._relay_in_loop(connection, consumer):
             data = self._read(connection)
             if not data:
-                raise _failed(
-                    "the stream ended before the response was complete"
-                )
+                raise _cut("the stream ended before the response was complete")
             if self._consume(data, consumer):
                 break
         self._finish_reading(connection)
@@ -186,7 +194,7 @@
         try:
             detached = connection.detach()
         except _targets.TargetConnectionError as error:
-            raise _failed("the connection to the engine failed") from error
+            raise _cut("the connection to the engine failed") from error
         if detached is None:
             return False
         body, received = detached
@@ -248,7 +256,7 @@
                 "the engine sent no response headers within the timeout"
             ) from error
         except _targets.TargetConnectionError as error:
-            raise _failed("the connection to the engine failed") from error
+            raise _cut("the connection to the engine failed") from error
         echoed_id = response.headers.get("X-Request-Id")
         if echoed_id is not None and echoed_id != self.request.attempt_id:
             raise _failed(
@@ -272,7 +280,7 @@
         except _targets.TargetTimeoutError as error:
             raise _timed_out(f"no token within {timeout_ms} ms") from error
         except _targets.TargetConnectionError as error:
-            raise _failed("the connection to the engine failed") from error
+            raise _cut("the connection to the engine failed") from error
         finally:
             self._wait_since_token_ms += self.clock.now_ms() - started_ms
 
--- a/packages/node/src/quetzalward_node/callers/_services.py
+++ b/packages/node/src/quetzalward_node/callers/_services.py
@@ -15,6 +15,9 @@
 # Statuses of a replica that did not do the work: a repeatable call is retried
 # on another replica.
 _RETRIED_STATUSES = frozenset((502, 503, 504))
+# Attempts of one call that may be cut off without a whole response. A call
+# under which replicas crash would otherwise end every one.
+MAX_CUT_ATTEMPTS = 3
 _Result = interfaces.AttemptResult
 _Deliver = typing.Callable[
     [_service_attempt.ServiceResponse, _service_attempt.ServiceAttempt], None
@@ -77,6 +80,7 @@
     def _run_attempts(self, deliver: _Deliver) -> None:
         excluded: frozenset[str] = frozenset()
         last_failure: _service_attempt.CallFailedError | None = None
+        cut_attempts = 0
         while True:
             try:
                 grant = self._acquire_grant(excluded)
@@ -91,7 +95,11 @@
             except _service_attempt.CallFailedError as failure:
                 last_failure = failure
             excluded |= {grant.target_id}
-            retry = self.request.repeatable or not last_failure.sent
+            if last_failure.sent and last_failure.response is None:
+                cut_attempts += 1
+            retry = not last_failure.sent or (
+                self.request.repeatable and cut_attempts < MAX_CUT_ATTEMPTS
+            )
             if not retry or self._interrupted or not self.parts.may_retry():
                 self._end_without_retry(last_failure, deliver)
                 return
--- a/packages/node/src/quetzalward_node/callers/_stream.py
+++ b/packages/node/src/quetzalward_node/callers/_stream.py
@@ -29,6 +29,11 @@
 )
 
 
+# Attempts of one completion that may be cut off without a whole response. A
+# prompt under which engines crash would otherwise end every replica.
+MAX_CUT_ATTEMPTS = 3
+
+
 @attrs.frozen
 class Parts:
     """The dependencies that all requests share."""
@@ -79,6 +84,7 @@
     _excluded: frozenset[str] = frozenset()
     _usage: dict[str, typing.Any] | None = None
     _may_have_run: bool = False
+    _cut_attempts: int = 0
     _last_error: errors.QuetzalwardError | None = None
     # Time at which the last token was written to the caller.
     _last_token_sent_ms: clocks.Millis | None = None
@@ -119,9 +125,11 @@
 
         A completion that the caller has received in part is exempt from the
         retry budget: the failure of one replica breaks more streams at once
-        than the budget of its node allows. The number of targets not yet
-        tried limits its retries.
+        than the budget of its node allows. `MAX_CUT_ATTEMPTS` limits its
+        retries.
         """
+        if self._cut_attempts >= MAX_CUT_ATTEMPTS:
+            return False
         if self._positions.sent > self.start.index:
             return True
         return self.parts.dispatcher.may_retry()
@@ -310,6 +318,8 @@
     def _record_failure(self, failure: _engine.AttemptFailedError) -> _Result:
         """Record a failed attempt and return the result to report."""
         self._may_have_run = self._may_have_run or failure.sent
+        if failure.is_cut:
+            self._cut_attempts += 1
         self._last_error = failure.error
         if self.interruption.cause is not None:
             return _Result.CANCELLED
--- a/packages/node/tests/test_callers_services.py
+++ b/packages/node/tests/test_callers_services.py
@@ -202,6 +202,15 @@
         self.assertEqual(200, self.call("GET", "/stock/7")[0])
         self.assertEqual([1, 1, 1], self.request_counts())
 
+    def test_call_that_ends_every_replica_is_sent_to_few(self):
+        """A repeatable call under which replicas crash must not end all."""
+        self.start(*(callers_fakes.Service() for _ in range(6)))
+        for service in self.services:
+            service.drop = True
+        response = self.call("GET", "/stock/7")
+        self.assert_problem("target_failed", "unknown", response)
+        self.assertEqual(3, sum(self.request_counts()))
+
     def test_last_response_is_passed_on_when_the_budget_is_spent(self):
         self.start(callers_fakes.Service(), callers_fakes.Service(), retries=0)
         self.services[0].status = 503
--- a/packages/node/tests/test_callers_streams.py
+++ b/packages/node/tests/test_callers_streams.py
@@ -227,6 +227,22 @@
         events = self.events()
         self.assertEqual(callers_fakes.text(PROMPT, TOTAL), text_of(events))
 
+    def test_stream_that_breaks_every_engine_is_sent_to_few(self):
+        """A draft under which engines end must not end all of them."""
+        for break_after in (0, 1):
+            with self.subTest(break_after=break_after):
+                engines = [
+                    callers_fakes.Engine(break_after=break_after)
+                    for _ in range(8)
+                ]
+                self.start(*engines, retries=8)
+                if break_after:
+                    last = json.loads(self.events()[-1].data)
+                    self.assertEqual("target_failed", last["kind"])
+                else:
+                    self.assert_problem("target_failed", document())
+                self.assertEqual(3, len(self.front.router.granted))
+
     def test_stream_can_be_resumed_after_an_error_event(self):
         self.start(callers_fakes.Engine(break_after=4), retries=0)
         events = self.events()
