Tell requests apart that send no attempt id or the same one

A part is blocked only if several requests crashed targets, and requests were told apart by the caller's attempt id: callers that send none, or one for all requests, could have crashed targets without end. The node now gives each stream an id.

--- a/packages/core/src/quetzalward_core/quarantine/_evidence.py
+++ b/packages/core/src/quetzalward_core/quarantine/_evidence.py
@@ -38,7 +38,7 @@
 class Crash:
     """An attempt whose target crashed before the answer had settled."""
 
-    # Id of the caller's attempt.
+    # Id that the node gave the request, the same for all of its attempts.
     request: str
     # One life of a target: its id and the epoch of its group.
     target: str
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -1,5 +1,6 @@
 """State of a gateway node, and the choice of targets for requests."""
 
+import itertools
 import random
 import typing
 
@@ -78,6 +79,7 @@
         self._view_ms: clock.Millis | None = None
         self.node_count = settings.nodes
         self.request_count = 0
+        self._stream_numbers = itertools.count(1)
         self.suspects: set[str] = set()
         # Set if the next message should not wait for the interval to pass.
         self.send_message_now = False
@@ -91,6 +93,14 @@
         """Return the limits that the deployment sets."""
         return self._settings.bounds
 
+    def next_stream_id(self, received_ms: clock.Millis) -> str:
+        """Return an id for a stream that no other stream has.
+
+        Callers may send the same attempt id several times, or none.
+        """
+        number = next(self._stream_numbers)
+        return f"{self._settings.node}/{received_ms}/{number}"
+
     # Updates from the store.
 
     def apply_configuration(self, configuration: fleet.Configuration) -> bool:
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -47,6 +47,7 @@
         """Take an admitted call; nothing is sent yet."""
         self._call = call
         self._state = call.runtime.state
+        self._stream_id = self._state.next_stream_id(call.raw.received_ms)
         self._progress = _stream_attempt.StreamProgress(
             _events.EventSequence(call.request.last_event_id),
             call.raw.received_ms,
@@ -140,13 +141,12 @@
         self, place: _state.StreamPlacement, weight: int
     ) -> None:
         """Record that a target crashed before the answer had settled."""
-        request = self._call.request
-        name, epoch = place.group.head.id, place.group.entry.epoch
+        target = f"{place.group.head.id}/{place.group.entry.epoch}"
         self._state.evidence.record_crash(
             quarantine.Crash(
-                request.attempt_id.decode("latin-1"),
-                f"{name}/{epoch}",
-                request.shared_parts,
+                self._stream_id,
+                target,
+                self._call.request.shared_parts,
                 weight,
                 self._call.runtime.now_ms(),
             )
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -179,13 +179,13 @@
 class Call:
     """Replaces `_runtime.Call` for a stream whose prompt has one part."""
 
-    def __init__(self) -> None:
+    def __init__(self, attempt_id: bytes = b"r") -> None:
         """Give the request a deadline far away."""
         self.runtime = Runtime(clock.SystemClock())
         self.responder = Responder()
         self.raw = RawRequest()
         self.request = _ports.CallerRequest(
-            b"r", b"POST", b"/", "h", "/", None, None, None, "m", None,
+            attempt_id, b"POST", b"/", "h", "/", None, None, None, "m", None,
             ("p",), [],
         )  # fmt: skip
 
--- a/packages/gateway/tests/test_stream_attempt.py
+++ b/packages/gateway/tests/test_stream_attempt.py
@@ -16,6 +16,7 @@
 from quetzalward_gateway import _events
 from quetzalward_gateway import _state
 from quetzalward_gateway import _stream_attempt
+from quetzalward_gateway import _streaming
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 EVENT = b"id: 1\ndata: x\n\n"
@@ -35,26 +36,30 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def place(address: fleet.Address) -> _state.StreamPlacement:
+    """Return a group whose head has an address."""
+    return _state.StreamPlacement(
+        _state.OpenGroup(
+            coordination.GroupEntry("g", 1, "m", "t"),
+            fleet.Target("t", "s", address, "z", False, 0, 1),
+        ),
+        0.0,
+        0.0,
+        None,
+        fakes.engine(),
+        fleet.Model("m", 1, 1.0, 1.0, 1_000, 100),
+    )
+
+
 async def attempt(
     target: hostile_targets.HostileTarget,
 ) -> tuple[_stream_attempt.StreamAttempt, _attempts.Attempt, fakes.Call]:
     """Send a stream's request to a target."""
     call = fakes.Call()
     async with target.running():
-        place = _state.StreamPlacement(
-            _state.OpenGroup(
-                coordination.GroupEntry("g", 1, "m", "t"),
-                fleet.Target("t", "s", target.address, "z", False, 0, 1),
-            ),
-            0.0,
-            0.0,
-            None,
-            fakes.engine(),
-            fleet.Model("m", 1, 1.0, 1.0, 1_000, 100),
-        )
         stream = _stream_attempt.StreamAttempt(
             typing.cast(typing.Any, call),
-            place,
+            place(target.address),
             _stream_attempt.StreamProgress(_events.EventSequence(), 0),
         )
         result = await stream.run()
@@ -116,6 +121,23 @@
                 self.assertEqual(EVENT, call.responder.body)
 
 
+class RequestsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against callers whose crashes are taken for one request's."""
+
+    async def test_requests_without_an_attempt_id_are_told_apart(self) -> None:
+        """A part is only blocked if several requests crashed targets."""
+        requests = set()
+        runtime = fakes.Call().runtime
+        for _ in range(3):
+            call = fakes.Call(attempt_id=b"")
+            call.runtime = runtime
+            exchange = _streaming.StreamExchange(typing.cast(typing.Any, call))
+            exchange._record_crash(place(fakes.ADDRESS), 2)
+            crash = call.runtime.state.evidence.crashes_since(0)[-1]
+            requests.add(crash.request)
+        self.assertEqual(3, len(requests))
+
+
 class EvidenceTest(unittest.IsolatedAsyncioTestCase):
     """Guards against evidence from attempts that show nothing."""
 
