--- a/packages/core/src/quetzalward_core/quarantine/_correlator.py
+++ b/packages/core/src/quetzalward_core/quarantine/_correlator.py
@@ -221,7 +221,7 @@
     def _max_chance_log(
         self, run: _Run, has_settled: bool, now_ms: clock.Millis
     ) -> float:
-        """Return the logarithm of the chance below which a part is blamed."""
+        """Return the logarithm of the highest chance of a cause."""
         window_ms = now_ms - _evidence.SERVICE_WINDOW_MS
         first_ms = max(window_ms, min(c.at_ms for c in run.crashes))
         if self._service(first_ms) >= MIN_SERVICE:
--- a/packages/core/tests/quarantine/test_quarantine.py
+++ b/packages/core/tests/quarantine/test_quarantine.py
@@ -17,7 +17,7 @@
 
 
 class CorrelatorTest(unittest.TestCase):
-    """Guards against blame of sound parts, and against missed causes."""
+    """Guards against blocks of sound parts, and against missed causes."""
 
     def crashes(self, count: int, *parts: str) -> list[quarantine.Crash]:
         """Return crashes at different times under the same parts."""
@@ -29,13 +29,13 @@
             correlator = builders.correlator(*self.crashes(count, "bad"))
             self.assertEqual(found, find(correlator))
 
-    def test_part_that_settled_since_is_not_blamed(self) -> None:
+    def test_part_that_settled_since_is_not_the_cause(self) -> None:
         """The first part is shared with requests that were answered."""
         correlator = builders.correlator(*self.crashes(5, "hot", "bad"))
         correlator.add_sound("hot", 9_900)
         self.assertEqual(frozenset({"bad"}), find(correlator))
 
-    def test_rare_first_part_is_not_blamed_with_the_cause(self) -> None:
+    def test_rare_first_part_is_not_blocked_with_the_cause(self) -> None:
         """A part that settled before, but not since, is shared as well."""
         correlator = builders.correlator(*self.crashes(5, "rare", "bad"))
         correlator.add_sound("rare", 8_000)
@@ -86,13 +86,15 @@
         crashes = self.crashes(6, "p")
         self.assertIsNone(find(builders.correlator(*crashes[:4], *others)))
 
-    def test_nothing_settled_is_blamed_while_nothing_is_served(self) -> None:
+    def test_no_part_that_settled_is_found_while_nothing_is_served(
+        self,
+    ) -> None:
         """All targets are gone: the part of all requests is not the cause."""
         correlator = builders.correlator(*self.crashes(6, "hot"), service=0)
         correlator.add_sound("hot", 1_000)
         self.assertIsNone(find(correlator))
 
-    def test_nodes_are_asked_before_a_part_is_blamed(self) -> None:
+    def test_nodes_are_asked_before_a_part_is_found(self) -> None:
         """Settled answers of other nodes are known only after that."""
         correlator = builders.correlator(*self.crashes(5, "p"))
         self.assertIsNone(correlator.find(NOW_MS - 1, builders.ANSWER_MS))
@@ -132,7 +134,7 @@
         rows: list[tuple[int, set[str], int]],
         sound_ms_by_part: dict[str, int],
     ) -> None:
-        """Whatever the evidence, a part that settled last is not blamed."""
+        """Whatever the evidence, a part that settled last is not found."""
         correlator = builders.correlator(
             *(
                 builders.crash(at_ms, *sorted(parts), weight=weight)
--- a/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
@@ -200,7 +200,7 @@
     ) -> None:
         crashes = correlator.explain(parts)
         self._runtime.log.event(
-            "prompt_convicted",
+            "crashing_prompt_found",
             parts=sorted(parts),
             crashed_targets=len({crash.target for crash in crashes}),
             requests=len({crash.request for crash in crashes}),
--- a/packages/gateway/tests/test_quarantine_control.py
+++ b/packages/gateway/tests/test_quarantine_control.py
@@ -89,7 +89,7 @@
         self.block()
         for node in (self.holder, self.first, self.second):
             self.assertEqual({BAD}, node.blocks)
-        self.assertIn("prompt_convicted", self.holder.runtime.log.names)
+        self.assertIn("crashing_prompt_found", self.holder.runtime.log.names)
         self.assertEqual(["prompt_blocked"], self.first.runtime.log.names)
 
     def test_nothing_is_sent_when_there_is_nothing_to_say(self) -> None:
@@ -183,7 +183,7 @@
 
 
 class CrashSimulationTest(unittest.TestCase):
-    """Guards against many crashes under a part, and blame of sound ones."""
+    """Guards against many crashes under a part, and blocks of sound ones."""
 
     def check(self, scenario: crash_simulation.Scenario, seed: int) -> None:
         """Check one run against the platform's bounds."""
