Check for a block after the wait for a group

An interrupted stream may wait up to 1.8 s for a group; a block that came into force meanwhile was not looked at, and the prompt was sent to one more target.

--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -64,10 +64,10 @@
             if self._call.remaining_ms() <= MIN_REMAINING_MS:
                 last = attrs.evolve(last, result=_Result.TIMEOUT)
                 break
+            place = await self._find_place()
             if self._is_blocked():
                 self._end_blocked()
                 return
-            place = await self._find_place()
             if isinstance(place, placing.Refusal):
                 self._end_refused(place)
                 return
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -7,10 +7,12 @@
 import attrs
 
 from quetzalward_core import clock
+from quetzalward_core import errors
 from quetzalward_core import fleet
 from quetzalward_gateway import _http
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _ports
+from quetzalward_gateway import _runtime
 from quetzalward_gateway import _settings
 from quetzalward_gateway import _state
 
@@ -183,16 +185,34 @@
         """Give the request a deadline far away."""
         self.runtime = Runtime(clock.SystemClock())
         self.responder = Responder()
-        self.raw = RawRequest()
+        self.raw = RawRequest(received_ms=self.runtime.now_ms())
         self.request = _ports.CallerRequest(
             attempt_id, b"POST", b"/", "h", "/", None, None, None, "m", None,
             ("p",), [],
         )  # fmt: skip
 
+        self.service = fleet.Service("s", "/", 0, 0.0, engine())
+        self.refusals: list[errors.ErrorKind] = []
+
     def remaining_ms(self) -> clock.Millis:
         """Return the time until the deadline."""
         return 5_000
 
+    def record_first_send(self) -> None:
+        """There is no retry budget."""
+
+    def try_spend_retry(self) -> bool:
+        """There is no retry budget."""
+        return True
+
+    def refuse(self, refused: _runtime.Refused) -> None:
+        """Keep the kind of a refusal."""
+        self.refusals.append(refused.kind)
+
+    def log_event(self, event: str, **fields: typing.Any) -> None:
+        """Record an event."""
+        self.runtime.log.event(event, **fields)
+
     def target_headers(
         self, target: fleet.Target, last_event_id: str | None
     ) -> _http.Headers:
--- a/packages/gateway/tests/test_stream_attempt.py
+++ b/packages/gateway/tests/test_stream_attempt.py
@@ -5,11 +5,13 @@
 import struct
 import typing
 import unittest
+from unittest import mock
 
 import fakes
 import hostile_targets
 
 from quetzalward_core import coordination
+from quetzalward_core import errors
 from quetzalward_core import fleet
 from quetzalward_core import quarantine
 from quetzalward_gateway import _attempts
@@ -138,6 +140,28 @@
         self.assertEqual(3, len(requests))
 
 
+class BlockTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against blocked prompts that are sent all the same."""
+
+    async def test_prompt_blocked_while_it_waits_is_not_sent(self) -> None:
+        """An interrupted stream may wait for a group for over a second."""
+        call = fakes.Call()
+        state = call.runtime.state
+        exchange = _streaming.StreamExchange(typing.cast(typing.Any, call))
+        exchange._executed_attempts = 1
+        target = hostile_targets.broken_off(head(CHUNKED), False)
+        run = asyncio.create_task(exchange.run())
+        await asyncio.sleep(0.1)
+        state.quarantine.add(quarantine.Block(frozenset({"p"})))
+        async with target.running():
+            with mock.patch.object(
+                state, "place_stream", return_value=place(target.address)
+            ):
+                await run
+            self.assertFalse(target.closed.is_set())
+        self.assertEqual([errors.ErrorKind.TARGET_FAILED], call.refusals)
+
+
 class EvidenceTest(unittest.IsolatedAsyncioTestCase):
     """Guards against evidence from attempts that show nothing."""
 
