Bound the messages about crashing prompts whatever callers send

Callers choose the number and length of a prompt's parts. A report of 512 crashes with 64 parts each, or 256 blocks of as many, exceeded what a datagram holds, so that no node would have learned of anything. Long ids are replaced by digests, a report names at most 24 crashes, those that weigh most first, and a block four parts.

--- a/packages/core/src/quetzalward_core/quarantine/__init__.py
+++ b/packages/core/src/quetzalward_core/quarantine/__init__.py
@@ -5,6 +5,7 @@
 from quetzalward_core.quarantine._evidence import CONTEXT_WEIGHT
 from quetzalward_core.quarantine._evidence import Crash
 from quetzalward_core.quarantine._evidence import EvidenceLog
+from quetzalward_core.quarantine._evidence import part_ids
 from quetzalward_core.quarantine._evidence import SETTLED_MS
 from quetzalward_core.quarantine._quarantine import Block
 from quetzalward_core.quarantine._quarantine import MAX_BLOCKS
@@ -20,4 +21,5 @@
     "MAX_BLOCKS",
     "Quarantine",
     "SETTLED_MS",
+    "part_ids",
 ]
--- a/packages/core/src/quetzalward_core/quarantine/_correlator.py
+++ b/packages/core/src/quetzalward_core/quarantine/_correlator.py
@@ -37,6 +37,8 @@
 # others; it needs twice the incidents.
 MIN_SERVICE = 5
 UNSERVED_FACTOR = 2
+# Parts of one block; a message must hold all blocks.
+MAX_BLOCK_PARTS = 4
 # Crashed targets from which on the nodes are asked about a part.
 SUSPECT_TARGETS = 2
 MAX_SUSPECTS = 64
@@ -187,12 +189,12 @@
         run = runs[max(found)[-1]]
         common = run.common_parts()
         unsettled = {p for p in common if p not in self._sound_ms_by_part}
-        if unsettled:
-            return frozenset(unsettled)
-        first_ms = min(crash.at_ms for crash in run.crashes)
-        return frozenset(
-            p for p in common if self._sound_ms_by_part[p] <= first_ms
-        )
+        if not unsettled:
+            first_ms = min(crash.at_ms for crash in run.crashes)
+            unsettled = {
+                p for p in common if self._sound_ms_by_part[p] <= first_ms
+            }
+        return frozenset(sorted(unsettled)[:MAX_BLOCK_PARTS])
 
     def _chance_log(self, run: _Run, now_ms: clock.Millis) -> float:
         """Return the logarithm of the chance to meet a run's incidents.
--- a/packages/core/src/quetzalward_core/quarantine/_evidence.py
+++ b/packages/core/src/quetzalward_core/quarantine/_evidence.py
@@ -1,6 +1,8 @@
 """What a node observed of crashes and of sound answers, by prompt part."""
 
 import collections
+import hashlib
+import itertools
 import typing
 
 import attrs
@@ -21,8 +23,10 @@
 MAX_CRASHES = 512
 MAX_SOUND_PARTS = 4_096
 MAX_SOUND_TIMES = 1_000
-# Parts of one prompt that are considered.
+# Parts of one prompt that are considered, and the longest id that is not
+# replaced by a digest: callers choose both, and messages must hold them.
 MAX_PARTS = 64
+MAX_ID_CHARS = 16
 # Time in which a suspicion of this node's own stands.
 SUSPICION_MS = 10_000
 # Crashed targets from which on a part is a suspect.
@@ -34,6 +38,21 @@
 SERVICE_WINDOW_MS = SERVICE_INTERVAL_MS * SERVICE_INTERVALS
 
 
+def part_ids(names: typing.Iterable[str]) -> tuple[str, ...]:
+    """Return ids of bounded length and number for the parts of a prompt."""
+    ids = itertools.islice(dict.fromkeys(names), MAX_PARTS)
+    return tuple(_part_id(name) for name in ids)
+
+
+def _part_id(name: str) -> str:
+    if len(name) <= MAX_ID_CHARS:
+        return name
+    digest = hashlib.blake2b(
+        name.encode(errors="replace"), digest_size=MAX_ID_CHARS // 2
+    )
+    return digest.hexdigest()
+
+
 @attrs.frozen
 class Crash:
     """An attempt whose target crashed before the answer had settled."""
@@ -67,9 +86,7 @@
     def record_crash(self, crash: Crash) -> None:
         """Record an attempt that a crash cut off."""
         if crash.parts:
-            self._crashes.append(
-                attrs.evolve(crash, parts=crash.parts[:MAX_PARTS])
-            )
+            self._crashes.append(crash)
 
     def record_sound(
         self,
--- a/packages/core/tests/quarantine/test_quarantine.py
+++ b/packages/core/tests/quarantine/test_quarantine.py
@@ -171,7 +171,7 @@
         log = quarantine.EvidenceLog()
         many = [f"p{n}" for n in range(1_000)]
         for n in range(3_000):
-            log.record_crash(builders.crash(n, *many))
+            log.record_crash(builders.crash(n, *quarantine.part_ids(many)))
             log.record_sound([f"s{n}", f"u{n}"], n)
         crashes = log.crashes_since(0)
         self.assertLessEqual(len(crashes), 512)
@@ -187,6 +187,20 @@
         self.assertEqual((3, 0, 1, 0, 0, 0), log.sound_counts(9_000))
 
 
+class PartIdsTest(unittest.TestCase):
+    """Guards against messages that a caller's prompt makes too long."""
+
+    def test_ids_are_bounded_and_told_apart(self) -> None:
+        """Short ids stay as they are; repeated ones count once."""
+        self.assertEqual(
+            ("5c1e07a2", "b"), quarantine.part_ids(["5c1e07a2", "b", "b"])
+        )
+        long_ids = quarantine.part_ids(["x" * 999, "x" * 998, "\ud800" * 20])
+        self.assertEqual(3, len(set(long_ids)))
+        self.assertEqual({16}, {len(part) for part in long_ids})
+        self.assertEqual(64, len(quarantine.part_ids(map(str, range(999)))))
+
+
 class QuarantineTest(unittest.TestCase):
     """Guards against refusing prompts that only share some parts."""
 
--- a/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
@@ -1,6 +1,7 @@
 """Shares evidence of crashing prompts between nodes, and the blocks."""
 
 import hashlib
+import itertools
 import json
 import typing
 
@@ -13,6 +14,9 @@
 # Time for which a node repeats a crash in its reports. After a change of the
 # holder it sends all that it has for as long.
 REPORT_MS = 3_000
+# Crashes and settled parts in one report, which must fit into a datagram.
+MAX_REPORTED_CRASHES = 24
+MAX_REPORTED_PARTS = 128
 # Interval at which a node reports while the holder asks about suspects. They
 # are common for a moment after an outage, and few nodes know more by then.
 ANSWER_INTERVAL_MS = 250
@@ -78,6 +82,9 @@
         is_new_term = now_ms - self._term_began_ms <= REPORT_MS
         since_ms = 0 if is_new_term else now_ms - REPORT_MS
         crashes = self._evidence.crashes_since(since_ms)
+        # Those that weigh most, and of them the newest.
+        crashes.sort(key=lambda crash: (-crash.weight, -crash.at_ms))
+        del crashes[MAX_REPORTED_CRASHES:]
         known = self._holder_blocks or frozenset()
         blocks = tuple(
             tuple(sorted(block.parts))
@@ -91,9 +98,13 @@
         if not crashes and not is_asked and not blocks:
             return None
         self._reported_ms = now_ms
-        parts = set(self._quarantine.suspects)
-        parts.update(part for crash in crashes for part in crash.parts)
-        sound = [(part, self._evidence.sound_ms(part)) for part in parts]
+        parts = dict.fromkeys(self._quarantine.suspects)
+        for crash in crashes:
+            parts.update(dict.fromkeys(crash.parts))
+        sound = [
+            (part, self._evidence.sound_ms(part))
+            for part in itertools.islice(parts, MAX_REPORTED_PARTS)
+        ]
         return coordination.CrashReport(
             self._node,
             term,
--- a/packages/gateway/tests/test_quarantine_control.py
+++ b/packages/gateway/tests/test_quarantine_control.py
@@ -98,6 +98,37 @@
         self.assertIsNone(self.first.control.report(1, self.now_ms))
         self.assertIsNone(self.holder.control.view_due(1, self.now_ms))
 
+    def test_long_prompts_do_not_keep_messages_from_being_sent(self) -> None:
+        """A datagram holds less than 64 kB; callers choose the parts."""
+        evidence = self.first.runtime.state.evidence
+        rng = random.Random(1)
+        for number in range(500):
+            parts = [f"{rng.getrandbits(160):x}" for _ in range(63)]
+            at_ms = self.now_ms + number // 4
+            evidence.record_sound(quarantine.part_ids(parts), at_ms)
+            evidence.record_crash(
+                quarantine.Crash(
+                    f"r{number}",
+                    f"t{number}/1",
+                    quarantine.part_ids([*parts, "bad"]),
+                    1 + (number % 100 == 0),
+                    at_ms,
+                )
+            )
+        self.now_ms += 150
+        report = self.first.control.report(1, self.now_ms)
+        assert report is not None
+        self.assertLess(len(coordination.encode(report)), 60_000)
+        self.assertEqual(5, sum(c.weight == 2 for c in report.crashes))
+        for number in range(quarantine.MAX_BLOCKS):
+            block = frozenset(
+                quarantine.part_ids(f"{number} {n} {'x' * 90}" for n in "abcd")
+            )
+            self.holder.quarantine.add(quarantine.Block(block))
+        view = self.holder.control.view_due(1, self.now_ms)
+        assert view is not None
+        self.assertLess(len(coordination.encode(view)), 60_000)
+
     def test_next_holder_learns_of_blocks_that_are_not_saved(self) -> None:
         """The holder may end before the store has the block."""
         self.block()
