--- a/packages/core/src/quetzalward_core/fleet/_model.py
+++ b/packages/core/src/quetzalward_core/fleet/_model.py
@@ -181,6 +181,11 @@
     staged_models: tuple[str, ...] = ()
     membership: Membership | None = None
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what tells this life of the target from others."""
+        return (self.id, self.born_ms)
+
 
 @attrs.frozen
 class TargetReport:
--- a/packages/core/src/quetzalward_core/limits/__init__.py
+++ b/packages/core/src/quetzalward_core/limits/__init__.py
@@ -16,6 +16,9 @@
 from quetzalward_core.limits._shares import DemandHistory
 from quetzalward_core.limits._shares import node_share
 from quetzalward_core.limits._shares import Share
+from quetzalward_core.limits._target_limits import LimitNotice
+from quetzalward_core.limits._target_limits import TargetKey
+from quetzalward_core.limits._target_limits import TargetLimits
 
 __all__ = [
     "DEMAND_WINDOW_MS",
@@ -25,10 +28,13 @@
     "DrainRate",
     "FairQueue",
     "HedgePolicy",
+    "LimitNotice",
     "MIN_RETRIES",
     "Rejection",
     "RetryBudget",
     "Share",
+    "TargetKey",
+    "TargetLimits",
     "TokenBucket",
     "check_wait",
     "flow_weight",
--- a/packages/gateway/src/quetzalward_gateway/_attempts.py
+++ b/packages/gateway/src/quetzalward_gateway/_attempts.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from quetzalward_core import limits
 from quetzalward_gateway import _ports
 
 # Within a region a connection takes a few milliseconds to open; waiting for
@@ -60,6 +61,23 @@
     is_cut: bool = False
 
 
+def limit_notice(
+    request: _ports.CallerRequest, answer: _ports.TargetAnswer
+) -> limits.LimitNotice | None:
+    """Return what an answer says of its target's limit, if anything.
+
+    Another target may answer at a reused address, and an answer that is not
+    sealed may come from anywhere, so that it cannot end a limit.
+    """
+    if answer.attempt_id not in (None, request.attempt_id):
+        return None
+    if answer.limit is None or answer.status == 421:
+        return None
+    if answer.limit.per_s is None and not answer.sealed:
+        return None
+    return answer.limit
+
+
 def check_response_head(
     request: _ports.CallerRequest, answer: _ports.TargetAnswer
 ) -> Attempt | None:
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -168,6 +168,7 @@
     try:
         head = await http.read_head(attempt_deadline_ms - now_ms())
         answer = call.runtime.platform.decode_answer(head)
+        call.observe_limit(target, answer)
         body = await http.read_body(lambda: attempt_deadline_ms - now_ms())
     except _channel.ChannelTimeout:
         if call.remaining_ms() > MIN_REMAINING_MS:
--- a/packages/gateway/src/quetzalward_gateway/_ports.py
+++ b/packages/gateway/src/quetzalward_gateway/_ports.py
@@ -10,6 +10,7 @@
 from quetzalward_core import clock
 from quetzalward_core import fleet
 from quetzalward_core import grouping
+from quetzalward_core import limits
 from quetzalward_core import placing
 from quetzalward_gateway import _http
 
@@ -108,6 +109,8 @@
     failed_target_id: str | None
     # Whether the body has a content encoding.
     encoded: bool
+    # What the answer says of its target's limit; `None` if it is unreadable.
+    limit: limits.LimitNotice | None
     # Headers to forward to the caller, without hop-by-hop headers.
     forwarded: _http.Headers
 
--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -7,6 +7,7 @@
 from quetzalward_core import clock
 from quetzalward_core import errors
 from quetzalward_core import fleet
+from quetzalward_gateway import _attempts
 from quetzalward_gateway import _http
 from quetzalward_gateway import _log
 from quetzalward_gateway import _metrics
@@ -93,6 +94,21 @@
             runtime.now_ms()
         )
 
+    def observe_limit(
+        self, target: fleet.Target, answer: _ports.TargetAnswer
+    ) -> None:
+        """Record what a target's answer says of its limit."""
+        if answer.limit is None:
+            self.log_event("limit_unreadable", target=target.id)
+        notice = _attempts.limit_notice(self.request, answer)
+        if notice is None:
+            return
+        target_limits = self.runtime.state.target_limits
+        if target_limits.observe(target.key, notice, self.runtime.now_ms()):
+            self.log_event(
+                "target_limit", target=target.id, limit_per_s=notice.per_s
+            )
+
     def refuse(self, refused: Refused) -> None:
         """Answer the caller with an error of the gateway itself."""
         refuse(self.runtime, self.request, self.responder, refused, self.route)
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -10,6 +10,7 @@
 from quetzalward_core import coordination
 from quetzalward_core import fleet
 from quetzalward_core import grouping
+from quetzalward_core import limits
 from quetzalward_core import placing
 from quetzalward_core import quarantine
 from quetzalward_gateway import _ports
@@ -68,6 +69,7 @@
         self.outcomes = placing.OutcomeTracker()
         self.evidence = quarantine.EvidenceLog()
         self.quarantine = quarantine.Quarantine()
+        self.target_limits = limits.TargetLimits()
         self.cold_start_budget = placing.ColdStartBudget(settings.node)
         self._retry_budget_by_service: dict[str, placing.RetryBudget] = {}
         self.load_by_group: dict[GroupKey, placing.GroupLoad] = {}
@@ -498,3 +500,6 @@
         present = {target.id for target in self.directory.all()}
         self.outcomes.retain(present)
         self.cold_start_budget.retain(present)
+        self.target_limits.retain(
+            {target.key for target in self.directory.all()}
+        )
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -141,6 +141,7 @@
             if isinstance(head, _Attempt):
                 return head
             answer = call.runtime.platform.decode_answer(head)
+            call.observe_limit(self._place.group.head, answer)
             failed_attempt = _attempts.check_response_head(
                 call.request, answer
             )
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -196,6 +196,7 @@
             predicted_ms=round(place.first_event_ms),
             load=round(place.load, 1),
             load_age_ms=place.load_age_ms,
+            limit_per_s=self._state.target_limits.per_s(place.group.head.key),
             first_ms=first_ms,
             longest_pause_ms=self._progress.longest_gap_ms,
             parts=call.request.shared_parts,
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -9,6 +9,7 @@
 from quetzalward_core import clock
 from quetzalward_core import errors
 from quetzalward_core import fleet
+from quetzalward_core import limits
 from quetzalward_gateway import _http
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _ports
@@ -93,7 +94,14 @@
     def decode_answer(self, head: _http.ResponseHead) -> _ports.TargetAnswer:
         """Return a sealed answer; a 503 says that nothing was executed."""
         return _ports.TargetAnswer(
-            head.status, True, head.status == 503, None, None, False, []
+            head.status,
+            True,
+            head.status == 503,
+            None,
+            None,
+            False,
+            limits.LimitNotice(None),
+            [],
         )
 
     def decode_target(self, record: _ports.Record) -> fleet.Target | None:
@@ -193,6 +201,7 @@
 
         self.service = fleet.Service("s", "/", 0, 0.0, engine())
         self.refusals: list[errors.ErrorKind] = []
+        self.limits: list[limits.LimitNotice | None] = []
 
     def remaining_ms(self) -> clock.Millis:
         """Return the time until the deadline."""
@@ -209,6 +218,12 @@
         """Keep the kind of a refusal."""
         self.refusals.append(refused.kind)
 
+    def observe_limit(
+        self, target: fleet.Target, answer: _ports.TargetAnswer
+    ) -> None:
+        """Keep what answers say of limits."""
+        self.limits.append(answer.limit)
+
     def log_event(self, event: str, **fields: typing.Any) -> None:
         """Record an event."""
         self.runtime.log.event(event, **fields)
