--- a/packages/standins/src/quetzalward_standins/platform/__init__.py
+++ b/packages/standins/src/quetzalward_standins/platform/__init__.py
@@ -3,6 +3,7 @@
 from quetzalward_standins.platform._http import Reply
 from quetzalward_standins.platform._http import Request
 from quetzalward_standins.platform._http import Server
+from quetzalward_standins.platform._limits import Period
 from quetzalward_standins.platform._operator import Operator
 from quetzalward_standins.platform._proxy import Proxy
 from quetzalward_standins.platform._proxy import ProxyMode
@@ -15,6 +16,7 @@
     "Crash",
     "Execution",
     "Operator",
+    "Period",
     "Proxy",
     "ProxyMode",
     "Reply",
--- a/packages/standins/src/quetzalward_standins/platform/_streams.py
+++ b/packages/standins/src/quetzalward_standins/platform/_streams.py
@@ -57,9 +57,10 @@
                 return part
         return None
 
-    def begin(self, seal: str) -> None:
+    def begin(self, seal: str, more_headers: dict[str, str]) -> None:
         """Send the head of the answer."""
         headers = {
+            **more_headers,
             REPLICA_SEAL_HEADER: seal,
             "Quetzalward-Attempt-Id": self._attempt_id,
             "content-type": "text/event-stream",
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -16,6 +16,7 @@
 from quetzalward_core import grouping
 from quetzalward_standins import group_targets
 from quetzalward_standins.platform import _http
+from quetzalward_standins.platform import _limits
 from quetzalward_standins.platform import _store
 from quetzalward_standins.platform import _streams
 
@@ -87,6 +88,7 @@
         self.departure_s_by_id: dict[str, float] = {}
         self.token_interval_s = 0.03
         self.stream_faults = _streams.StreamFaults()
+        self.limits = _limits.NamedLimits()
         self.crashes: list[Crash] = []
         self._restarts: set[asyncio.Task[None]] = set()
         self._rng = rng
@@ -190,6 +192,7 @@
 
     def kill(self, target_id: str) -> None:
         """Stop a target and reset its connections."""
+        self.limits.end(target_id)
         if target_id in self.plain_by_id:
             self.plain_by_id[target_id].alive = False
         else:
@@ -228,6 +231,7 @@
         if expected != target_id:
             reply.send(421, b"", {"Quetzalward-Not-Executed": "1"})
             return
+        self.limits.record_arrival(target_id)
         if target is None:
             await self._serve_plain(target_id, request, reply)
         else:
@@ -277,6 +281,7 @@
         headers = {
             _streams.REPLICA_SEAL_HEADER: "s",
             "Quetzalward-Attempt-Id": attempt_id,
+            **self.limits.headers(target_id),
         }
         if self._rng.random() < self.stream_faults.abort_probability:
             reply.send_headers(200, {"content-length": "100", **headers})
@@ -297,7 +302,8 @@
             membership is None
             or membership.state is not fleet.MemberState.OPEN
         ):
-            reply.send(503, b"", {"Quetzalward-Not-Executed": "1"})
+            refusal = {"Quetzalward-Not-Executed": "1"}
+            reply.send(503, b"", refusal | self.limits.headers(target.id))
             return
         while not self._is_complete(membership):
             await asyncio.sleep(self.token_interval_s)
@@ -305,7 +311,7 @@
         stream = _streams.Stream(
             request, reply, attempt_id, self.stream_faults, self._rng
         )
-        stream.begin(target.id)
+        stream.begin(target.id, self.limits.headers(target.id))
         part = stream.crashing_part()
         if part is not None:
             await asyncio.sleep(self.token_interval_s)
