Hold all nodes together to the limit that a target names

Cause: placing knows load and cold starts only; nothing reads the limit. A node that held to it by itself would have changed nothing, since no node sent more than 1.6 a second: what a target says to one node bounds the sum over all.

Nodes now report the limits that answers name to the coordinator, which lists them to all and issues permits for single requests, to nodes whose request waits for one and else to those that will use it soonest. Unused permits count as requests that may still come, so that lost messages, lost nodes and a change of the holder leave the bound as it is: at most 2 + r unused and r a second, where 1.5 r and 5 in 4 s are allowed. Without a coordinator nodes draw permits at random times, half of the limit over all nodes. A limit belongs to placing, before the choice of a target; if all are limited, a request waits for 300 ms at most and is then refused with a Retry-After that spreads returns over what is offered. Two answers without a limit, to requests sent after the last answer with it, end it.

--- a/packages/bench/tests/functional/test_target_limits.py
+++ b/packages/bench/tests/functional/test_target_limits.py
@@ -11,11 +11,11 @@
 from quetzalward_standins import platform
 
 LIMIT_PER_S = 1.1
-LIMITED_PLAIN = ("p0", "p1")
 LIMITED_S = 14.0
 # Time from the end of a limit until its target gets its usual share again.
 RELEASED_S = 8.0
-# Share of what a target offers that must be used.
+# Share of what the plain targets offer that must be used. Callers want more
+# than that, as all of them are limited.
 MIN_USED_SHARE = 0.6
 
 
@@ -38,7 +38,7 @@
 
     async def limit(self) -> list[platform.Period]:
         """Let targets name a limit for a while; return the periods."""
-        names = [*LIMITED_PLAIN, *self.limited_heads()]
+        names = [*self.targets.plain_by_id, *self.limited_heads()]
         limits = self.targets.limits
         periods = [limits.name(name, LIMIT_PER_S) for name in names]
         await asyncio.sleep(LIMITED_S)
@@ -49,10 +49,12 @@
         periods = await self.limit()
         self.assertEqual([], self.targets.limits.check(0.0))
         for period in periods:
-            assert period.named_s is not None, period.target_id
-            used = period.count(period.named_s, time.monotonic())
-            offered = LIMIT_PER_S * (time.monotonic() - period.named_s)
-            self.assertGreater(used, MIN_USED_SHARE * offered, period)
+            if period.target_id in self.targets.plain_by_id:
+                assert period.named_s is not None, period.target_id
+                limited_s = time.monotonic() - period.named_s
+                used = period.count(period.named_s, time.monotonic())
+                offered = LIMIT_PER_S * limited_s
+                self.assertGreater(used, MIN_USED_SHARE * offered, period)
         self.assertEqual([], self.outcomes.violations)
 
     async def test_target_gets_requests_again_when_its_limit_ends(
--- a/packages/core/src/quetzalward_core/coordination/__init__.py
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -4,6 +4,13 @@
 from quetzalward_core.coordination._election import Election
 from quetzalward_core.coordination._election import LOW_CAPACITY_DELAY_MS
 from quetzalward_core.coordination._election import Term
+from quetzalward_core.coordination._limit_messages import DemandRow
+from quetzalward_core.coordination._limit_messages import LimitList
+from quetzalward_core.coordination._limit_messages import LimitReport
+from quetzalward_core.coordination._limit_messages import LimitRow
+from quetzalward_core.coordination._limit_messages import ObservationRow
+from quetzalward_core.coordination._limit_messages import PermitGrant
+from quetzalward_core.coordination._limit_messages import PermitRow
 from quetzalward_core.coordination._messages import decode
 from quetzalward_core.coordination._messages import encode
 from quetzalward_core.coordination._messages import GroupEntry
@@ -40,6 +47,7 @@
     "BlockRow",
     "CrashReport",
     "CrashRow",
+    "DemandRow",
     "Election",
     "GroupEntry",
     "GroupList",
@@ -47,11 +55,17 @@
     "GroupWork",
     "Known",
     "LOW_CAPACITY_DELAY_MS",
+    "LimitList",
+    "LimitReport",
+    "LimitRow",
     "MAX_RELAY_BYTES",
     "Message",
+    "ObservationRow",
     "Outcome",
     "PeerAddresses",
     "PeerClock",
+    "PermitGrant",
+    "PermitRow",
     "QuarantineView",
     "RELAY_CHECK_INTERVAL_MS",
     "Relay",
--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from quetzalward_core.coordination import _limit_messages
 from quetzalward_core.coordination import _quarantine_messages
 
 
@@ -197,12 +198,18 @@
 _RELAY = "relay"
 _CRASH_REPORT = "crashes"
 _QUARANTINE_VIEW = "quarantine"
+_LIMIT_REPORT = "limit-report"
+_LIMIT_LIST = "limits"
+_PERMIT_GRANT = "permits"
 _KIND_BY_TYPE: dict[type, str] = {
     Status: _STATUS,
     View: _VIEW,
     Relay: _RELAY,
     _quarantine_messages.CrashReport: _CRASH_REPORT,
     _quarantine_messages.QuarantineView: _QUARANTINE_VIEW,
+    _limit_messages.LimitReport: _LIMIT_REPORT,
+    _limit_messages.LimitList: _LIMIT_LIST,
+    _limit_messages.PermitGrant: _PERMIT_GRANT,
 }
 
 Message = (
@@ -211,6 +218,9 @@
     | Relay
     | _quarantine_messages.CrashReport
     | _quarantine_messages.QuarantineView
+    | _limit_messages.LimitReport
+    | _limit_messages.LimitList
+    | _limit_messages.PermitGrant
 )
 
 
@@ -434,4 +444,7 @@
     _VIEW: _view,
     _CRASH_REPORT: _quarantine_messages.crash_report,
     _QUARANTINE_VIEW: _quarantine_messages.quarantine_view,
+    _LIMIT_REPORT: _limit_messages.limit_report,
+    _LIMIT_LIST: _limit_messages.limit_list,
+    _PERMIT_GRANT: _limit_messages.permit_grant,
 }
--- a/packages/core/src/quetzalward_core/placing/__init__.py
+++ b/packages/core/src/quetzalward_core/placing/__init__.py
@@ -6,6 +6,7 @@
 from quetzalward_core.placing._choice import Candidate
 from quetzalward_core.placing._choice import choose_group
 from quetzalward_core.placing._choice import jittered_retry_after_ms
+from quetzalward_core.placing._choice import MAX_RETRY_AFTER_MS
 from quetzalward_core.placing._choice import MIN_RETRY_AFTER_MS
 from quetzalward_core.placing._choice import Placement
 from quetzalward_core.placing._choice import Refusal
@@ -24,6 +25,7 @@
     "ColdStartLimit",
     "GroupLoad",
     "Load",
+    "MAX_RETRY_AFTER_MS",
     "MIN_RETRY_AFTER_MS",
     "OutcomeTracker",
     "Placement",
--- a/packages/core/tests/coordination/builders.py
+++ b/packages/core/tests/coordination/builders.py
@@ -52,3 +52,21 @@
 def record(offset: int, size: int = 10) -> coordination.RelayedRecord:
     """Return a record of about `size` bytes."""
     return coordination.RelayedRecord(offset, "k", "v" * (size - 1))
+
+
+def limit_row() -> coordination.LimitRow:
+    """Return a target's limit."""
+    return coordination.LimitRow("t1", 1_700_000_000_000, "s", "m", 1.1)
+
+
+def limit_messages() -> tuple[coordination.Message, ...]:
+    """Return one message of each kind about limits."""
+    observation = coordination.ObservationRow(limit_row(), -1, (20, 90))
+    demand = coordination.DemandRow("s", "m", 2.25, 1)
+    return (
+        coordination.LimitReport("a", 3, (observation,), (demand,), (7, 9)),
+        coordination.LimitList("a", 3, (limit_row(),)),
+        coordination.PermitGrant(
+            "a", 3, (coordination.PermitRow(7, "t1", 1, 50),)
+        ),
+    )
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -208,10 +208,18 @@
                 ("p",),
                 (coordination.BlockRow(("p", "q"), True),),
             ),
+            *builders.limit_messages(),
         ):
             data = coordination.encode(message)
             self.assertEqual(message, coordination.decode(data))
 
+    def test_rate_that_is_no_number_is_refused(self) -> None:
+        """A node would divide by it."""
+        for value in ("-1.0", '"x"', "NaN", "Infinity", "null", "1e999"):
+            data = b'["limits","a",3,[["t",1,"s","m",%s]]]' % value.encode()
+            with self.assertRaises(ValueError, msg=value):
+                coordination.decode(data)
+
     def test_echo_is_split_from_any_view(self) -> None:
         """The echoed clock is split from plain and compressed views."""
         for groups in (0, 300):
--- /dev/null
+++ b/packages/core/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of limits on requests."""
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -42,7 +42,7 @@
             platform, state, time_source, log, _metrics.Metrics()
         )
         self._callers = _server.CallerServer(
-            self._handle, state.limits, time_source.now_ms
+            self._handle, state.caller_limits, time_source.now_ms
         )
         self._readiness = _status_server.StatusServer(self._readiness_answer)
         self._metrics = _status_server.StatusServer(self._metrics_answer)
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -1,6 +1,7 @@
 """Exchanges the nodes' messages, and coordinates while it holds the term."""
 
 import asyncio
+import random
 
 import attrs
 
@@ -8,6 +9,7 @@
 from quetzalward_core import coordination
 from quetzalward_core import fleet
 from quetzalward_gateway import _group_control
+from quetzalward_gateway import _limit_control
 from quetzalward_gateway import _node_reports
 from quetzalward_gateway import _operations
 from quetzalward_gateway import _peers
@@ -60,6 +62,9 @@
         self._quarantine = _quarantine_control.QuarantineControl(
             runtime, settings.node
         )
+        self._limits = _limit_control.LimitControl(
+            runtime, settings.node, random.Random(settings.node)
+        )
         self._terms = _terms.TermKeeper(runtime, settings, self._quarantine)
         self._socket = _peers.PeerSocket(self._handle_message, runtime.log)
         self._reports = _node_reports.NodeReports()
@@ -100,10 +105,14 @@
             self._follow_term()
             if self.is_holder:
                 self._groups.run(now_ms)
-                self._quarantine.run(
-                    now_ms, self._runtime.state.message_interval_ms()
-                )
+                interval_ms = self._runtime.state.message_interval_ms()
+                self._quarantine.run(now_ms, interval_ms)
+                self._limits.run(self._terms.number, now_ms, interval_ms)
             self._send_due(now_ms)
+            if self.is_holder:
+                self._send_grants(now_ms)
+            elif self._runtime.state.report_demand_now:
+                self._send_limit_report(now_ms)
 
     def _follow_term(self) -> None:
         """Begin or end coordinating when a term has begun or ended."""
@@ -117,11 +126,13 @@
             self._runtime.log.event("duty_lost", term=self._coordinated_term)
             self._groups.end_term()
             self._quarantine.end_term()
+            self._limits.end_term()
         self._reports.clear()
         self._coordinated_term = term
         if term:
             self._groups.begin_term(term)
             self._quarantine.begin_term(now_ms)
+            self._limits.begin_term(term, now_ms)
             # The other nodes learn of the term from the first message.
             self._runtime.state.relay_now = True
 
@@ -146,10 +157,21 @@
             if self.is_holder:
                 self._quarantine.record(message, now_ms)
             return
-        if isinstance(message, coordination.QuarantineView):
+        if isinstance(message, coordination.LimitReport):
+            if self.is_holder:
+                self._limits.record(message, now_ms)
+            return
+        if isinstance(
+            message,
+            (
+                coordination.QuarantineView,
+                coordination.LimitList,
+                coordination.PermitGrant,
+            ),
+        ):
             known = election.term
             if known is not None and known.number == message.term:
-                self._quarantine.apply_view(message)
+                self._apply_from_holder(message, now_ms)
             return
         term = coordination.Term(message.term, message.node, message.address)
         if not election.accept_holder_message(
@@ -170,6 +192,23 @@
             self._targets.set_relayed_deferral(store.removal_deferral_ms)
             self._targets.apply_relayed_view(store.targets, sent_ms)
 
+    def _apply_from_holder(
+        self,
+        message: (
+            coordination.QuarantineView
+            | coordination.LimitList
+            | coordination.PermitGrant
+        ),
+        now_ms: clock.Millis,
+    ) -> None:
+        """Apply a message of the holder, whose term is known already."""
+        if isinstance(message, coordination.QuarantineView):
+            self._quarantine.apply_view(message)
+        elif isinstance(message, coordination.LimitList):
+            self._limits.apply_list(message, now_ms)
+        else:
+            self._limits.apply_grant(message, now_ms)
+
     def _earliest_sent_ms(
         self,
         message: coordination.View | coordination.Relay,
@@ -202,13 +241,14 @@
             self._send(now_ms)
         elif self.is_holder and (
             self._quarantine.is_urgent
+            or self._limits.is_urgent
             or state.relay_now
             or now_ms - self._last_relayed_ms >= state.relay_interval_ms()
         ):
             state.relay_now = False
             self._last_relayed_ms = now_ms
             self._send_to_nodes(now_ms, None)
-            self._send_quarantine(now_ms)
+            self._send_lists(now_ms)
 
     def _send(self, now_ms: clock.Millis) -> None:
         """Send a status to the holder or, as the holder, a view to all."""
@@ -227,22 +267,50 @@
             state.relay_now = False
             self._last_relayed_ms = now_ms
             self._send_to_nodes(now_ms, view)
-            self._send_quarantine(now_ms)
+            self._send_lists(now_ms)
         elif term is not None and term.address:
             holder = _parse_address(term.address)
             self._socket.send(coordination.encode(status), holder)
             report = self._quarantine.report(term.number, now_ms)
             if report is not None:
                 self._socket.send(coordination.encode(report), holder)
+            self._send_limit_report(now_ms)
 
-    def _send_quarantine(self, now_ms: clock.Millis) -> None:
-        """Send suspects and blocks to all other nodes if that is due."""
-        view = self._quarantine.view_due(self._terms.number, now_ms)
-        if view is None:
+    def _send_limit_report(self, now_ms: clock.Millis) -> None:
+        """Send what the holder needs to know about limits, if anything."""
+        state = self._runtime.state
+        state.report_demand_now = False
+        term = self._terms.election.term
+        if term is None or not term.address:
             return
-        data = coordination.encode(view)
-        for recipient in self._recipients(now_ms):
-            self._socket.send(data, recipient.address)
+        report = self._limits.report(
+            term.number, now_ms, state.message_interval_ms()
+        )
+        if report is not None:
+            self._socket.send(
+                coordination.encode(report), _parse_address(term.address)
+            )
+
+    def _send_lists(self, now_ms: clock.Millis) -> None:
+        """Send blocks and limits to all other nodes if that is due."""
+        term = self._terms.number
+        for message in (
+            self._quarantine.view_due(term, now_ms),
+            self._limits.list_due(term, now_ms),
+        ):
+            if message is None:
+                continue
+            data = coordination.encode(message)
+            for recipient in self._recipients(now_ms):
+                self._socket.send(data, recipient.address)
+
+    def _send_grants(self, now_ms: clock.Millis) -> None:
+        """Send permits to the nodes that got some."""
+        grants = self._limits.grants_due(self._terms.number, now_ms)
+        for node, grant in grants.items():
+            report = self._reports.by_node.get(node)
+            if report is not None:
+                self._socket.send(coordination.encode(grant), report.address)
 
     def _known(self) -> coordination.Known:
         """Return what this node has applied of the holder's state."""
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -5,9 +5,12 @@
 from quetzalward_core import clock
 from quetzalward_core import errors
 from quetzalward_core import fleet
+from quetzalward_core import placing
+from quetzalward_gateway import _admission
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _http
+from quetzalward_gateway import _permit_wait
 from quetzalward_gateway import _runtime
 
 # Limit of attempts that the target did not execute; they do not count towards
@@ -34,12 +37,20 @@
     tried: set[str] = set()
     executed_attempts = unexecuted_attempts = 0
     error_attempt: _Attempt | None = None
+    refusal: placing.Refusal | None = None
     last = _Attempt(_Result.NOT_RUN, "no target is available")
-    call.record_first_send()
+    pool = _admission.pool_of(call.service)
+    call.record_first_send(pool)
+
+    def choose() -> fleet.Target | placing.Refusal:
+        return runtime.state.place_plain(call.service, tried, runtime.now_ms())
+
     while call.remaining_ms() > MIN_REMAINING_MS:
-        now_ms = runtime.now_ms()
-        target = runtime.state.place_plain(call.service, tried, now_ms)
-        if target is None:
+        target = await _permit_wait.place(call, pool, choose)
+        if isinstance(target, placing.Refusal):
+            refusal = runtime.state.final_refusal(
+                target, pool, runtime.now_ms()
+            )
             break
         tried.add(target.id)
         if (
@@ -69,7 +80,7 @@
     if error_attempt is not None:
         _forward(call, error_attempt)
     else:
-        call.refuse(_refusal_for(call, last, executed_attempts))
+        call.refuse(_refusal_for(call, last, executed_attempts, refusal))
 
 
 def _is_worth_repeating(
@@ -85,9 +96,19 @@
 
 
 def _refusal_for(
-    call: _runtime.Call, last: _Attempt, executed_attempts: int
+    call: _runtime.Call,
+    last: _Attempt,
+    executed_attempts: int,
+    refusal: placing.Refusal | None,
 ) -> _runtime.Refused:
-    """Return the refusal that matches the failure of the last attempt."""
+    """Return the refusal that matches the failure of the last attempt.
+
+    `refusal` says why there was no target for another one.
+    """
+    if not executed_attempts and refusal is not None:
+        return _runtime.Refused(
+            errors.ErrorKind.NO_TARGET, refusal.reason, refusal.retry_after_ms
+        )
     if not executed_attempts:
         return _runtime.Refused(
             errors.ErrorKind.NO_TARGET, last.reason, RETRY_AFTER_MS
@@ -115,6 +136,7 @@
     runtime = call.runtime
     outcomes = runtime.state.outcomes
     started_ms = runtime.now_ms()
+    runtime.state.admission.record_request(target, started_ms)
     try:
         channel = await _channel.connect(
             target.address,
@@ -125,7 +147,7 @@
         call.log_event("unreachable", target=target.id, reason=repr(error))
         return _Attempt(_Result.UNREACHABLE, "connection to the target failed")
     outcomes.started(target.id)
-    runtime.state.cold_start_budget.record_request(target.id, started_ms)
+    runtime.state.admission.record_connection(target, started_ms)
     try:
         attempt = await _exchange(call, target, channel, executed_attempts)
     finally:
@@ -157,6 +179,7 @@
 ) -> _Attempt:
     http = _http.ClientCall(channel)
     request = call.request
+    sent_ms = call.runtime.now_ms()
     http.send(
         request.method,
         request.target,
@@ -168,7 +191,8 @@
     try:
         head = await http.read_head(attempt_deadline_ms - now_ms())
         answer = call.runtime.platform.decode_answer(head)
-        call.observe_limit(target, answer)
+        pool = _admission.pool_of(call.service)
+        call.observe_limit(target, pool, answer, sent_ms)
         body = await http.read_body(lambda: attempt_deadline_ms - now_ms())
     except _channel.ChannelTimeout:
         if call.remaining_ms() > MIN_REMAINING_MS:
--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -7,6 +7,7 @@
 from quetzalward_core import clock
 from quetzalward_core import errors
 from quetzalward_core import fleet
+from quetzalward_core import limits
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _http
 from quetzalward_gateway import _log
@@ -87,26 +88,42 @@
             runtime.now_ms(), runtime.state.node_count
         )
 
-    def record_first_send(self) -> None:
-        """Count the request towards the service's retry budget."""
+    def record_first_send(self, pool: limits.PoolKey) -> None:
+        """Count the request as demand, and for the retry budget."""
         runtime = self.runtime
+        runtime.state.target_limits.record_demand(pool, runtime.now_ms())
         runtime.state.retry_budget(self.service.name).record_request(
             runtime.now_ms()
         )
 
     def observe_limit(
-        self, target: fleet.Target, answer: _ports.TargetAnswer
+        self,
+        target: fleet.Target,
+        pool: limits.PoolKey,
+        answer: _ports.TargetAnswer,
+        sent_ms: clock.Millis,
     ) -> None:
-        """Record what a target's answer says of its limit."""
+        """Record what a target's answer says of its limit.
+
+        `sent_ms` is when the request was sent.
+        """
         if answer.limit is None:
             self.log_event("limit_unreadable", target=target.id)
         notice = _attempts.limit_notice(self.request, answer)
         if notice is None:
             return
-        target_limits = self.runtime.state.target_limits
-        if target_limits.observe(target.key, notice, self.runtime.now_ms()):
+        state = self.runtime.state
+        is_change = state.target_limits.observe(
+            target.key, pool, notice, sent_ms, self.runtime.now_ms()
+        )
+        if is_change:
+            if notice.per_s is not None:
+                state.send_message_now = True
             self.log_event(
-                "target_limit", target=target.id, limit_per_s=notice.per_s
+                "target_limit",
+                target=target.id,
+                limit_per_s=notice.per_s,
+                source="answer",
             )
 
     def refuse(self, refused: Refused) -> None:
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -13,6 +13,7 @@
 from quetzalward_core import limits
 from quetzalward_core import placing
 from quetzalward_core import quarantine
+from quetzalward_gateway import _admission
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _settings
 
@@ -50,6 +51,7 @@
     load_age_ms: clock.Millis | None
     engine: fleet.Engine
     model: fleet.Model
+    pool: limits.PoolKey
 
 
 class NodeState:
@@ -69,8 +71,10 @@
         self.outcomes = placing.OutcomeTracker()
         self.evidence = quarantine.EvidenceLog()
         self.quarantine = quarantine.Quarantine()
-        self.target_limits = limits.TargetLimits()
-        self.cold_start_budget = placing.ColdStartBudget(settings.node)
+        self.target_limits = limits.TargetLimits(rng)
+        self.admission = _admission.TargetAdmission(
+            settings, self.directory, self.target_limits
+        )
         self._retry_budget_by_service: dict[str, placing.RetryBudget] = {}
         self.load_by_group: dict[GroupKey, placing.GroupLoad] = {}
         # The holder's group list, the term that numbers its versions, and the
@@ -85,6 +89,8 @@
         self.suspects: set[str] = set()
         # Set if the next message should not wait for the interval to pass.
         self.send_message_now = False
+        # Set if a request waits for a permit.
+        self.report_demand_now = False
         # Set if the holder should relay what it read without delay.
         self.relay_now = False
         # Answers, failures and summed latency in ms of successes, by target.
@@ -114,7 +120,7 @@
         self._routes = fleet.RouteTable(configuration.routes)
         return True
 
-    def limits(self) -> fleet.CallerLimits:
+    def caller_limits(self) -> fleet.CallerLimits:
         """Return the limits on callers' requests that are in force."""
         if self.configuration is None:
             return fleet.CallerLimits()
@@ -268,6 +274,17 @@
 
     # Choice of targets.
 
+    def final_refusal(
+        self,
+        refusal: placing.Refusal,
+        pool: limits.PoolKey,
+        now_ms: clock.Millis,
+    ) -> placing.Refusal:
+        """Return a refusal with the time after which its caller may return."""
+        if refusal is not _admission.LIMITED:
+            return refusal
+        return self.admission.refusal(pool, self.node_count, now_ms, self._rng)
+
     def place_stream(
         self,
         service: fleet.Service,
@@ -284,11 +301,21 @@
             model = engine.models_by_name.get(request.model)
         if engine is None or model is None or prompt is None:
             return placing.Refusal("unknown model", placing.MIN_RETRY_AFTER_MS)
-        groups = [
+        pool = _admission.pool_of(service, model.name)
+        usable = [
             group
             for group in self.open_groups(service.name, model.name, now_ms)
             if self._accepts_request(service, group, tried, now_ms)
         ]
+        groups = [
+            group
+            for group in usable
+            if self.admission.is_within_limit(
+                group.head, self.node_count, now_ms
+            )
+        ]
+        if usable and not groups:
+            return _admission.LIMITED
         # A silent group whose members are being probed is better than none.
         responsive = [
             g for g in groups if not self.load_of(g.key).check_requested
@@ -321,6 +348,7 @@
             age_ms,
             engine,
             model,
+            pool,
         )
 
     def _load_age_ms(self, now_ms: clock.Millis) -> float:
@@ -355,8 +383,8 @@
             group.key not in tried
             and not load.suspected
             and not load.lost
-            and self._is_within_cold_start_limit(
-                service, group.head.id, now_ms
+            and self.admission.tolerates_cold(
+                service, group.head, self.node_count, now_ms
             )
         )
 
@@ -365,16 +393,25 @@
         service: fleet.Service,
         tried: set[str],
         now_ms: clock.Millis,
-    ) -> fleet.Target | None:
+    ) -> fleet.Target | placing.Refusal:
         """Choose the target of a request to a service without groups."""
-        candidates = [
+        usable = [
             target
             for target in self.directory.of_service(service.name)
             if self.is_usable(target)
             and target.id not in tried
-            and self._is_within_cold_start_limit(service, target.id, now_ms)
+            and self.admission.tolerates_cold(
+                service, target, self.node_count, now_ms
+            )
         ]
-        return placing.choose_target(
+        candidates = [
+            target
+            for target in usable
+            if self.admission.is_within_limit(target, self.node_count, now_ms)
+        ]
+        if usable and not candidates:
+            return _admission.LIMITED
+        chosen = placing.choose_target(
             self.outcomes,
             candidates,
             self._settings.zone,
@@ -382,26 +419,11 @@
             now_ms,
             self._rng,
         )
-
-    def _is_within_cold_start_limit(
-        self, service: fleet.Service, target_id: str, now_ms: clock.Millis
-    ) -> bool:
-        if service.cold_max_requests_per_s <= 0:
-            return True
-        bounds = self._settings.bounds
-        limit = placing.ColdStartLimit(
-            service.cold_max_requests_per_s,
-            service.cold_max_requests_per_s * bounds.cold_ratio
-            + bounds.cold_slack,
-        )
-        is_cold = self.directory.cold_left_ms(target_id, now_ms) > 0
-        return self.cold_start_budget.allows(
-            target_id,
-            limit.allowed_per_s(is_cold),
-            self.node_count,
-            now_ms,
-            is_cold,
-        )
+        if chosen is None:
+            return placing.Refusal(
+                "no target is available", placing.MIN_RETRY_AFTER_MS
+            )
+        return chosen
 
     def retry_budget(self, service: str) -> placing.RetryBudget:
         """Return the budget for retries of a service's requests."""
@@ -495,11 +517,7 @@
             known,
         )
 
-    def forget_removed_targets(self) -> None:
+    def forget_removed_targets(self, now_ms: clock.Millis) -> None:
         """Drop the statistics of targets that no longer exist."""
-        present = {target.id for target in self.directory.all()}
-        self.outcomes.retain(present)
-        self.cold_start_budget.retain(present)
-        self.target_limits.retain(
-            {target.key for target in self.directory.all()}
-        )
+        self.outcomes.retain({target.id for target in self.directory.all()})
+        self.admission.forget_gone(now_ms)
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -86,6 +86,9 @@
         # concurrent requests takes it into account.
         self._load.started(tokens, self._call.runtime.now_ms())
         self._prefill_tokens = tokens
+        self._state.admission.record_request(
+            self._place.group.head, self._call.runtime.now_ms()
+        )
         try:
             return await self._connect_and_relay()
         finally:
@@ -108,7 +111,7 @@
                 _Result.UNREACHABLE,
                 f"connection to the group's head failed: {error!r}",
             )
-        self._state.cold_start_budget.record_request(head.id, runtime.now_ms())
+        self._state.admission.record_connection(head, runtime.now_ms())
         try:
             attempt = await self._relay(channel)
         finally:
@@ -130,6 +133,7 @@
         call = self._call
         http = _http.ClientCall(channel)
         last_event_id = self._progress.sequence.last_id
+        sent_ms = call.runtime.now_ms()
         http.send(
             call.request.method,
             call.request.target,
@@ -141,7 +145,9 @@
             if isinstance(head, _Attempt):
                 return head
             answer = call.runtime.platform.decode_answer(head)
-            call.observe_limit(self._place.group.head, answer)
+            call.observe_limit(
+                self._place.group.head, self._place.pool, answer, sent_ms
+            )
             failed_attempt = _attempts.check_response_head(
                 call.request, answer
             )
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -8,8 +8,10 @@
 from quetzalward_core import errors
 from quetzalward_core import placing
 from quetzalward_core import quarantine
+from quetzalward_gateway import _admission
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _events
+from quetzalward_gateway import _permit_wait
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _state
 from quetzalward_gateway import _stream_attempt
@@ -47,6 +49,7 @@
         """Take an admitted call; nothing is sent yet."""
         self._call = call
         self._state = call.runtime.state
+        self._pool = _admission.pool_of(call.service, call.request.model or "")
         self._stream_id = self._state.next_stream_id(call.raw.received_ms)
         self._progress = _stream_attempt.StreamProgress(
             _events.EventSequence(call.request.last_event_id),
@@ -58,7 +61,7 @@
 
     async def run(self) -> None:
         """Serve the stream until it is complete, refused or aborted."""
-        self._call.record_first_send()
+        self._call.record_first_send(self._pool)
         last = _Attempt(_Result.NOT_RUN, "no group has been tried")
         while True:
             if self._call.remaining_ms() <= MIN_REMAINING_MS:
@@ -109,12 +112,8 @@
         """
         while True:
             now_ms = self._call.runtime.now_ms()
-            place = self._state.place_stream(
-                self._call.service,
-                self._call.request,
-                self._call.remaining_ms(),
-                self._tried_groups,
-                now_ms,
+            place = await _permit_wait.place(
+                self._call, self._pool, self._choose
             )
             if not isinstance(place, placing.Refusal):
                 return place
@@ -129,6 +128,15 @@
                 RESUME_POLL_INTERVAL_MS / clock.MILLIS_PER_SECOND
             )
 
+    def _choose(self) -> _state.StreamPlacement | placing.Refusal:
+        return self._state.place_stream(
+            self._call.service,
+            self._call.request,
+            self._call.remaining_ms(),
+            self._tried_groups,
+            self._call.runtime.now_ms(),
+        )
+
     def _count(self, place: _state.StreamPlacement, last: _Attempt) -> None:
         """Count an attempt at a group."""
         self._tried_groups.add(place.group.key)
@@ -237,6 +245,9 @@
         )
 
     def _end_refused(self, refusal: placing.Refusal) -> None:
+        refusal = self._state.final_refusal(
+            refusal, self._pool, self._call.runtime.now_ms()
+        )
         if self._call.responder.started:
             self._abort(refusal.reason)
         elif self._executed_attempts:
--- a/packages/gateway/src/quetzalward_gateway/_target_entries.py
+++ b/packages/gateway/src/quetzalward_gateway/_target_entries.py
@@ -153,4 +153,4 @@
         directory = self._runtime.state.directory
         for target_id in directory.expire(self._runtime.now_ms()):
             self._runtime.log.event("target_gone", target=target_id)
-        self._runtime.state.forget_removed_targets()
+        self._runtime.state.forget_removed_targets(self._runtime.now_ms())
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -207,7 +207,7 @@
         """Return the time until the deadline."""
         return 5_000
 
-    def record_first_send(self) -> None:
+    def record_first_send(self, pool: limits.PoolKey) -> None:
         """There is no retry budget."""
 
     def try_spend_retry(self) -> bool:
@@ -219,7 +219,11 @@
         self.refusals.append(refused.kind)
 
     def observe_limit(
-        self, target: fleet.Target, answer: _ports.TargetAnswer
+        self,
+        target: fleet.Target,
+        pool: limits.PoolKey,
+        answer: _ports.TargetAnswer,
+        sent_ms: clock.Millis,
     ) -> None:
         """Keep what answers say of limits."""
         self.limits.append(answer.limit)
--- a/packages/gateway/tests/test_stream_attempt.py
+++ b/packages/gateway/tests/test_stream_attempt.py
@@ -50,6 +50,7 @@
         None,
         fakes.engine(),
         fleet.Model("m", 1, 1.0, 1.0, 1_000, 100),
+        ("s", "m"),
     )
 
 
