Count a request to a cold target before its connection is opened

Of requests that came at once, all were sent to a cold target, since each was placed before the connection of the one before was open and counted: six of six reached it where its share is one a second.

--- a/packages/gateway/src/quetzalward_gateway/_admission.py
+++ b/packages/gateway/src/quetzalward_gateway/_admission.py
@@ -74,13 +74,8 @@
         self, target: fleet.Target, now_ms: clock.Millis
     ) -> None:
         """Count a request that is about to be sent."""
-        self._limits.use_permit(target.key, now_ms)
-
-    def record_connection(
-        self, target: fleet.Target, now_ms: clock.Millis
-    ) -> None:
-        """Count a request at a target that may be cold."""
         self._cold_starts.record_request(target.id, now_ms)
+        self._limits.use_permit(target.key, now_ms)
 
     def refusal(
         self,
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -147,7 +147,6 @@
         call.log_event("unreachable", target=target.id, reason=repr(error))
         return _Attempt(_Result.UNREACHABLE, "connection to the target failed")
     outcomes.started(target.id)
-    runtime.state.admission.record_connection(target, started_ms)
     try:
         attempt = await _exchange(call, target, channel, executed_attempts)
     finally:
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -111,7 +111,6 @@
                 _Result.UNREACHABLE,
                 f"connection to the group's head failed: {error!r}",
             )
-        self._state.admission.record_connection(head, runtime.now_ms())
         try:
             attempt = await self._relay(channel)
         finally:
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -200,6 +200,11 @@
         )  # fmt: skip
 
         self.service = fleet.Service("s", "/", 0, 0.0, engine())
+        self.route = fleet.Route(
+            "r", "h", "/", fleet.RequestKind.NON_IDEMPOTENT, 5_000, 400, 400,
+            1, {"s": 1.0}, 1, False, False,
+        )  # fmt: skip
+        self.deadline_ms = self.runtime.now_ms() + 5_000
         self.refusals: list[errors.ErrorKind] = []
         self.limits: list[limits.LimitNotice | None] = []
 
