Soak: targets name limits, change and end them

Each limit is checked at the targets, from 3 s after the first answer with it and whatever happens to nodes and store meanwhile.

--- a/packages/bench/src/quetzalward_bench/soak/_faults.py
+++ b/packages/bench/src/quetzalward_bench/soak/_faults.py
@@ -52,6 +52,7 @@
         answer_actions: list[_Action] = [
             self.send_unframed_answers,
             self.crash_targets_on_prompts,
+            self.limit_targets,
         ]
         actions: list[_Action] = [
             self.kill_node,
@@ -205,6 +206,22 @@
         await asyncio.sleep(self._answer_rng.uniform(5.0, 10.0))
         self._prompts.remove_crashing_part(part)
 
+    async def limit_targets(self) -> None:
+        """Let some targets name limits, change them and end them."""
+        rng, limits = self._answer_rng, self._targets.limits
+        names = [
+            *self._targets.plain_by_id,
+            *self._targets.fleet.target_by_id,
+        ]
+        chosen = rng.sample(names, rng.randint(1, len(names)))
+        for _ in range(rng.randint(1, 2)):
+            per_s = rng.choice((0.0, 0.5, 1.1, 2.5, 4.0))
+            for name in chosen:
+                limits.name(name, per_s)
+            await asyncio.sleep(rng.uniform(3.0, 9.0))
+        for name in chosen:
+            limits.end(name)
+
     async def change_configuration(self) -> None:
         """Publish a few configurations in quick succession."""
         for _ in range(self._rng.randint(1, 4)):
--- a/packages/bench/src/quetzalward_bench/soak/_run.py
+++ b/packages/bench/src/quetzalward_bench/soak/_run.py
@@ -178,6 +178,7 @@
     broken += _prompts.check(
         prompts_by_attempt, targets, faults.disturbed_until_s
     )
+    broken += targets.limits.check()
     execution_count_by_id: dict[str, int] = {}
     for execution in targets.executions:
         execution_count_by_id[execution.attempt_id] = (
--- a/packages/bench/tests/functional/test_target_limits.py
+++ b/packages/bench/tests/functional/test_target_limits.py
@@ -47,7 +47,7 @@
     async def test_nodes_together_keep_the_limit_and_use_it(self) -> None:
         """What one node is told bounds the sum over all nodes."""
         periods = await self.limit()
-        self.assertEqual([], self.targets.limits.check(0.0))
+        self.assertEqual([], self.targets.limits.check())
         for period in periods:
             if period.target_id in self.targets.plain_by_id:
                 assert period.named_s is not None, period.target_id
--- a/packages/standins/src/quetzalward_standins/platform/_limits.py
+++ b/packages/standins/src/quetzalward_standins/platform/_limits.py
@@ -35,11 +35,11 @@
         """Return the number of requests that arrived between two times."""
         return sum(since_s <= at_s < until_s for at_s in self.arrivals_s)
 
-    def excess(self, undisturbed_since_s: float) -> str | None:
+    def excess(self) -> str | None:
         """Return how the limit was exceeded, `None` if it was not."""
         if self.named_s is None:
             return None
-        begin_s = max(self.named_s + CONTACT_S, undisturbed_since_s)
+        begin_s = self.named_s + CONTACT_S
         most = max(
             (
                 self.count(at_s, at_s + WINDOW_S)
@@ -93,7 +93,7 @@
             period.named_s = time.monotonic()
         return {HEADER: f"{period.per_s:g}"}
 
-    def check(self, undisturbed_since_s: float) -> list[str]:
+    def check(self) -> list[str]:
         """Return each limit that was exceeded."""
-        found = [p.excess(undisturbed_since_s) for p in self.periods]
+        found = [period.excess() for period in self.periods]
         return [text for text in found if text is not None]
