Let nodes with a small share of the retry budget retry at random

Each node could retry once in a window, however small its share: 390 nodes with one request each to a service sent 390 repeats where 210 are allowed (the test fails before with these figures). Shares are now rounded up or down at random, so that they sum to the bound; no message is needed.

--- a/packages/core/src/quetzalward_core/placing/_budget.py
+++ b/packages/core/src/quetzalward_core/placing/_budget.py
@@ -6,6 +6,8 @@
 
 import collections
 import hashlib
+import math
+import random
 
 import attrs
 
@@ -23,6 +25,10 @@
     ratio: float
     slack: float
     window_ms: clock.Millis
+    # Decides which nodes may retry if a share is less than one retry.
+    rng: random.Random
+    _rounding: float = attrs.field(default=0.0, init=False)
+    _rounding_until_ms: clock.Millis = attrs.field(default=0, init=False)
     _request_times_ms: collections.deque[clock.Millis] = attrs.field(
         factory=collections.deque, init=False
     )
@@ -40,7 +46,13 @@
         self._expire(now_ms)
         allowed = self.ratio * len(self._request_times_ms)
         allowed += self.slack / max(1, nodes)
-        if len(self._retry_times_ms) + 1 > max(1.0, USABLE_SHARE * allowed):
+        # Rounded up or down at random, so that the shares of all nodes sum to
+        # the bound, however small they are.
+        if now_ms >= self._rounding_until_ms:
+            self._rounding = self.rng.random()
+            self._rounding_until_ms = now_ms + self.window_ms
+        usable = math.floor(USABLE_SHARE * allowed + self._rounding)
+        if len(self._retry_times_ms) + 1 > usable:
             return False
         self._retry_times_ms.append(now_ms)
         return True
--- a/packages/core/tests/placing/test_placing.py
+++ b/packages/core/tests/placing/test_placing.py
@@ -223,7 +223,10 @@
 
     def test_all_nodes_together_stay_within_the_bound(self) -> None:
         """Seven nodes that use all their retries stay below the total."""
-        budgets = [placing.RetryBudget(0.2, 132, 10_000) for _ in range(NODES)]
+        budgets = [
+            placing.RetryBudget(0.2, 132, 10_000, random.Random(n))
+            for n in range(NODES)
+        ]
         repeats = 0
         for now_ms in range(0, 10_000, 100):
             for budget in budgets:
@@ -247,6 +250,22 @@
                 sent += 1
         return sent
 
+    def test_nodes_with_few_requests_stay_within_the_retry_budget(
+        self,
+    ) -> None:
+        """Each node's share is less than one retry in a window."""
+        rng = random.Random(1)
+        for nodes, requests in ((390, 1), (390, 2), (195, 1), (64, 2)):
+            retries = 0
+            for _ in range(nodes):
+                budget = placing.RetryBudget(0.2, 132, 10_000, rng)
+                for number in range(requests):
+                    budget.record_request(1_000 + number)
+                    retries += budget.try_spend(1_000 + number, nodes)
+            allowed = 0.2 * nodes * requests + 132.0
+            self.assertLessEqual(retries, allowed, (nodes, requests))
+            self.assertGreater(retries, 0.4 * allowed, (nodes, requests))
+
     def test_cold_target_stays_within_its_rate(self) -> None:
         """The nodes' shares add up to less than a cold target tolerates."""
         self.assertLessEqual(self.sent_by_all(True), 38)
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -434,6 +434,7 @@
                 bounds.repeat_ratio,
                 bounds.repeat_slack,
                 bounds.repeat_window_ms,
+                self._rng,
             )
             self._retry_budget_by_service[service] = budget
         return budget
