Issue permits for several requests where limits are high

A target may name a number that no caller reaches: the holder would issue so many permits, one by one. A permit now covers a tenth of a second of the limit, and no more than its node uses in a second, so that their number follows the demand. Metrics permits and permits_used; stream lines tell how many groups were left out for want of a permit.

--- a/packages/core/src/quetzalward_core/coordination/_limit_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_limit_messages.py
@@ -50,8 +50,8 @@
     term: int
     observations: tuple[ObservationRow, ...]
     demand: tuple[DemandRow, ...]
-    # Serials of permits that were used.
-    used: tuple[int, ...]
+    # Serials of permits, and how many requests were sent with each.
+    used: tuple[tuple[int, int], ...]
 
 
 @attrs.frozen
@@ -65,12 +65,13 @@
 
 @attrs.frozen
 class PermitRow:
-    """The right to send a target one request."""
+    """The right to send a target some requests."""
 
     serial: int
     target_id: str
     born_ms: int
     age_ms: int
+    count: int
 
 
 @attrs.frozen
@@ -100,7 +101,7 @@
             DemandRow(str(service), str(model), _rate(per_s), int(waiting))
             for service, model, per_s, waiting in demand
         ),
-        tuple(int(serial) for serial in used),
+        tuple((int(serial), int(count)) for serial, count in used),
     )
 
 
@@ -119,8 +120,14 @@
         str(node),
         int(term),
         tuple(
-            PermitRow(int(serial), str(target_id), int(born_ms), int(age_ms))
-            for serial, target_id, born_ms, age_ms in permits
+            PermitRow(
+                int(serial),
+                str(target_id),
+                int(born_ms),
+                int(age_ms),
+                max(1, int(count)),
+            )
+            for serial, target_id, born_ms, age_ms, count in permits
         ),
     )
 
--- a/packages/core/src/quetzalward_core/limits/_permits.py
+++ b/packages/core/src/quetzalward_core/limits/_permits.py
@@ -1,4 +1,4 @@
-"""Division of targets' limits among nodes, by permits for single requests.
+"""Division of targets' limits among nodes, by permits for a few requests.
 
 Whatever a node may send to a limited target, it sends on a permit of the
 coordinator. A permit that was issued and neither used nor expired counts as a
@@ -8,6 +8,7 @@
 """
 
 import collections
+import math
 import random
 import typing
 
@@ -19,7 +20,7 @@
 
 # Time for which a node may use a permit.
 PERMIT_MS = 2_000
-# Permits that may be unused at a time, beyond those of the interval.
+# Requests that may be permitted and not sent yet, and those of this time.
 BASE_BURST = 2.0
 BURST_S = 1.0
 # A target that names less still gets requests at this rate: only its answers
@@ -31,6 +32,9 @@
 # A permit is issued without a request that waits for it only to a node that
 # will probably use it within this time.
 MAX_IDLE_S = 1.0
+# A permit is for the requests of this time, so that their number a second does
+# not grow with the limits.
+BATCH_S = 0.1
 # A node that reported nothing for this long gets no permits.
 REPORT_MAX_AGE_MS = 2_500
 # Expired permits are remembered for this long, in case that a report of their
@@ -42,19 +46,36 @@
 
 
 def burst(per_s: float) -> float:
-    """Return how many permits of a target may be unused at a time."""
+    """Return how many permitted requests may still come at a time."""
     return BASE_BURST + BURST_S * per_s
 
 
 @attrs.frozen
 class Permit:
-    """The right of one node to send a target one request."""
+    """The right of one node to send a target some requests."""
 
     node: str
     # Counts the permits of a term.
     serial: int
     key: _named_limit.TargetKey
     issued_ms: clock.Millis
+    count: int = 1
+
+
+@attrs.define
+class _Issued:
+    permit: Permit
+    used: int = 0
+
+    def record_used(self, used: int) -> int:
+        """Record the use as reported; return how much more that is."""
+        known, self.used = self.used, min(self.permit.count, max(0, used))
+        self.used = max(known, self.used)
+        return self.used - known
+
+    @property
+    def unused(self) -> int:
+        return self.permit.count - self.used
 
 
 @attrs.define
@@ -62,15 +83,17 @@
     pool: _named_limit.PoolKey
     per_s: float
     updated_ms: clock.Millis
-    # Permits that may be issued at once; below 0 after a late report.
+    # Requests that may be permitted at once; below 0 after a late report.
     level: float = 0.0
-    unused_by_serial: dict[int, Permit] = attrs.field(factory=dict)
+    # Permitted requests that may still come, and the permits that are valid.
+    unused: int = 0
+    issued_by_serial: dict[int, _Issued] = attrs.field(factory=dict)
 
     def refill(self, now_ms: clock.Millis) -> None:
         elapsed_ms = max(0, now_ms - self.updated_ms)
         self.updated_ms = now_ms
         self.level += self.per_s * elapsed_ms / clock.MILLIS_PER_SECOND
-        room = burst(self.per_s) - len(self.unused_by_serial)
+        room = burst(self.per_s) - self.unused
         self.level = min(self.level, room)
 
 
@@ -88,13 +111,13 @@
         self._rng = rng
         self._bucket_by_key: dict[_named_limit.TargetKey, _Bucket] = {}
         self._demand_by_node: dict[str, _NodeDemand] = {}
-        # Unused permits by node and pool.
+        # Permitted requests that may still come, by node and pool.
         self._held: collections.Counter[tuple[str, _named_limit.PoolKey]] = (
             collections.Counter()
         )
-        # Targets of the unused permits.
+        # Targets of the valid permits.
         self._key_by_serial: dict[int, _named_limit.TargetKey] = {}
-        self._expired_by_serial: dict[int, Permit] = {}
+        self._expired_by_serial: dict[int, _Issued] = {}
         self._last_serial = 0
 
     def set_limits(
@@ -107,9 +130,9 @@
         """Set the limits of all targets; a new one starts without permits."""
         for key in set(self._bucket_by_key) - set(limits):
             bucket = self._bucket_by_key.pop(key)
-            for serial, permit in bucket.unused_by_serial.items():
+            for serial, issued in bucket.issued_by_serial.items():
                 del self._key_by_serial[serial]
-                self._held[permit.node, bucket.pool] -= 1
+                self._held[issued.permit.node, bucket.pool] -= issued.unused
         for key, (pool, named_per_s) in limits.items():
             per_s = max(MIN_PER_S, named_per_s)
             found = self._bucket_by_key.get(key)
@@ -128,21 +151,22 @@
         """Record what a node needs of each pool."""
         self._demand_by_node[node] = _NodeDemand(by_pool, now_ms)
 
-    def record_used(self, serials: typing.Iterable[int]) -> None:
-        """Record that permits were used; a serial may be repeated."""
-        for serial in serials:
-            expired = self._expired_by_serial.pop(serial, None)
+    def record_used(self, used: typing.Iterable[tuple[int, int]]) -> None:
+        """Record how many requests were sent by permit; it may be repeated."""
+        for serial, count in used:
+            expired = self._expired_by_serial.get(serial)
             if expired is not None:
-                bucket = self._bucket_by_key.get(expired.key)
+                bucket = self._bucket_by_key.get(expired.permit.key)
+                late = expired.record_used(count)
                 if bucket is not None:
-                    bucket.level -= 1
-                continue
-            key = self._key_by_serial.pop(serial, None)
-            if key is None:
-                continue
-            bucket = self._bucket_by_key[key]
-            permit = bucket.unused_by_serial.pop(serial)
-            self._held[permit.node, bucket.pool] -= 1
+                    bucket.level -= late
+            key = self._key_by_serial.get(serial)
+            if key is not None:
+                bucket = self._bucket_by_key[key]
+                issued = bucket.issued_by_serial[serial]
+                more = issued.record_used(count)
+                bucket.unused -= more
+                self._held[issued.permit.node, bucket.pool] -= more
 
     def issue(
         self, now_ms: clock.Millis, report_ms: clock.Millis
@@ -162,15 +186,31 @@
                 node = self._choose_node(nodes, bucket.pool)
                 if node is None:
                     break
-                self._last_serial += 1
-                permit = Permit(node, self._last_serial, key, now_ms)
-                bucket.level -= 1
-                bucket.unused_by_serial[permit.serial] = permit
-                self._key_by_serial[permit.serial] = key
-                self._held[node, bucket.pool] += 1
-                issued.append(permit)
+                issued.append(self._issue_one(node, key, bucket, now_ms))
         return issued
 
+    def _issue_one(
+        self,
+        node: str,
+        key: _named_limit.TargetKey,
+        bucket: _Bucket,
+        now_ms: clock.Millis,
+    ) -> Permit:
+        self._last_serial += 1
+        demand = self._demand(node, bucket.pool).per_s
+        count = min(
+            math.floor(bucket.level),
+            max(1, math.floor(bucket.per_s * BATCH_S)),
+            max(1, math.floor(demand * MAX_IDLE_S)),
+        )
+        permit = Permit(node, self._last_serial, key, now_ms, count)
+        bucket.level -= count
+        bucket.unused += count
+        bucket.issued_by_serial[permit.serial] = _Issued(permit)
+        self._key_by_serial[permit.serial] = key
+        self._held[node, bucket.pool] += count
+        return permit
+
     def _choose_node(
         self, nodes: list[str], pool: _named_limit.PoolKey
     ) -> str | None:
@@ -205,17 +245,19 @@
     def _expire(self, now_ms: clock.Millis, report_ms: clock.Millis) -> None:
         """Take back permits that nodes can use no longer, and lost nodes."""
         for bucket in self._bucket_by_key.values():
-            for serial, permit in list(bucket.unused_by_serial.items()):
+            for serial, issued in list(bucket.issued_by_serial.items()):
+                permit = issued.permit
                 if now_ms - permit.issued_ms <= PERMIT_MS + report_ms:
                     # They are in the order of their issue.
                     break
-                del bucket.unused_by_serial[serial]
+                del bucket.issued_by_serial[serial]
                 del self._key_by_serial[serial]
-                bucket.level += 1
-                self._held[permit.node, bucket.pool] -= 1
-                self._expired_by_serial[serial] = permit
-        for serial, permit in list(self._expired_by_serial.items()):
-            age_ms = now_ms - permit.issued_ms
+                bucket.level += issued.unused
+                bucket.unused -= issued.unused
+                self._held[permit.node, bucket.pool] -= issued.unused
+                self._expired_by_serial[serial] = issued
+        for serial, issued in list(self._expired_by_serial.items()):
+            age_ms = now_ms - issued.permit.issued_ms
             if age_ms > PERMIT_MS + report_ms + EXPIRED_MEMORY_MS:
                 del self._expired_by_serial[serial]
         for node, demand in list(self._demand_by_node.items()):
--- a/packages/core/src/quetzalward_core/limits/_target_limits.py
+++ b/packages/core/src/quetzalward_core/limits/_target_limits.py
@@ -55,11 +55,13 @@
     unnamed_sent_ms: tuple[clock.Millis, ...]
 
 
-@attrs.frozen
+@attrs.define
 class _HeldPermit:
     expires_ms: clock.Millis
     # `None` if the node drew the permit itself.
     serial: int | None
+    left: int = 1
+    used: int = 0
 
 
 @attrs.define
@@ -101,10 +103,8 @@
         self._listed_ms: clock.Millis | None = None
         # Expiry of the permits that were received, by serial.
         self._received: dict[int, clock.Millis] = {}
-        # Serials of used permits, and when they were used.
-        self._used: collections.deque[tuple[int, clock.Millis]] = (
-            collections.deque()
-        )
+        # How many requests were sent by permit, and when the last one.
+        self._use_by_serial: dict[int, tuple[int, clock.Millis]] = {}
 
     # Requests.
 
@@ -162,15 +162,22 @@
 
     def use_permit(
         self, key: _named_limit.TargetKey, now_ms: clock.Millis
-    ) -> None:
-        """Use the permit that expires first, as a request is sent."""
+    ) -> bool:
+        """Use a permit as a request is sent; tell whether one was needed.
+
+        That is the one that expires first.
+        """
         limit = self._limit_by_key.get(key)
         if limit is None or not limit.permits:
-            return
+            return False
         permit = min(limit.permits, key=lambda p: p.expires_ms)
-        limit.permits.remove(permit)
+        permit.left -= 1
+        permit.used += 1
+        if not permit.left:
+            limit.permits.remove(permit)
         if permit.serial is not None:
-            self._used.append((permit.serial, now_ms))
+            self._use_by_serial[permit.serial] = (permit.used, now_ms)
+        return True
 
     def _draw(
         self, limit: _TargetLimit, nodes: int, now_ms: clock.Millis
@@ -247,7 +254,7 @@
         if term != self._term:
             self._term = term
             self._received.clear()
-            self._used.clear()
+            self._use_by_serial.clear()
 
     def apply_list(
         self, listed: typing.Iterable[ListedLimit], now_ms: clock.Millis
@@ -310,7 +317,9 @@
             ):
                 continue
             self._received[permit.serial] = expires_ms
-            limit.permits.append(_HeldPermit(expires_ms, permit.serial))
+            limit.permits.append(
+                _HeldPermit(expires_ms, permit.serial, permit.count)
+            )
 
     def observations(self, now_ms: clock.Millis) -> list[Observation]:
         """Return what answers said that the coordinator may not know."""
@@ -347,13 +356,17 @@
             if pool in self._demand_by_pool
         }
 
-    def used_serials(
+    def used(
         self, now_ms: clock.Millis, repeat_ms: clock.Millis
-    ) -> list[int]:
-        """Return the permits used within `repeat_ms`."""
-        while self._used and self._used[0][1] < now_ms - repeat_ms:
-            self._used.popleft()
-        return [serial for serial, _ in self._used]
+    ) -> list[tuple[int, int]]:
+        """Return how many requests were sent by permit.
+
+        Only permits that were used within `repeat_ms` are listed.
+        """
+        for serial, (_, used_ms) in list(self._use_by_serial.items()):
+            if used_ms < now_ms - repeat_ms:
+                del self._use_by_serial[serial]
+        return [(n, count) for n, (count, _) in self._use_by_serial.items()]
 
     def all_limits(self) -> list[ListedLimit]:
         """Return all limits."""
--- a/packages/core/tests/coordination/builders.py
+++ b/packages/core/tests/coordination/builders.py
@@ -64,9 +64,9 @@
     observation = coordination.ObservationRow(limit_row(), -1, (20, 90))
     demand = coordination.DemandRow("s", "m", 2.25, 1)
     return (
-        coordination.LimitReport("a", 3, (observation,), (demand,), (7, 9)),
+        coordination.LimitReport("a", 3, (observation,), (demand,), ((7, 1),)),
         coordination.LimitList("a", 3, (limit_row(),)),
         coordination.PermitGrant(
-            "a", 3, (coordination.PermitRow(7, "t1", 1, 50),)
+            "a", 3, (coordination.PermitRow(7, "t1", 1, 50, 2),)
         ),
     )
--- a/packages/core/tests/limits/test_target_limits.py
+++ b/packages/core/tests/limits/test_target_limits.py
@@ -123,7 +123,7 @@
         self.limits.use_permit(KEY, NOW_MS)
         self.permit(1)
         self.assertFalse(self.may_send())
-        self.assertEqual([1], self.limits.used_serials(NOW_MS, 400))
+        self.assertEqual([(1, 1)], self.limits.used(NOW_MS, 400))
 
     def test_permit_expires(self) -> None:
         """The coordinator gives it to another node then."""
@@ -243,11 +243,18 @@
         late_ms = NOW_MS + 2_000 + limits.PERMIT_MS + REPORT_MS + 1
         issuer.record_demand("n0", {POOL: limits.PoolDemand(9.0)}, late_ms)
         count = len(issuer.issue(late_ms, REPORT_MS))
-        issuer.record_used([first[0].serial])
-        issuer.record_used([first[0].serial])
+        issuer.record_used([(first[0].serial, 1)] * 2)
         more = issuer.issue(late_ms + 2_000, REPORT_MS)
         self.assertLessEqual(1 + count + len(more), 0.5 * 6.6 + 2.5)
 
+    def test_limit_without_end_costs_no_more_than_the_demand(self) -> None:
+        """Sound targets may name a number that no caller reaches."""
+        need = limits.PoolDemand(20.0)
+        issuer = self.issuer(999_999_999.0, *([need] * 50))
+        permits = issuer.issue(NOW_MS + 50, REPORT_MS)
+        self.assertLess(len(permits), 200)
+        self.assertGreaterEqual(sum(p.count for p in permits), 200)
+
     @hypothesis.settings(max_examples=60, deadline=None)
     @hypothesis.given(
         st.integers(0, 1_000_000),
@@ -262,24 +269,27 @@
         rng = random.Random(seed)
         need = limits.PoolDemand(demand_per_s)
         issuer = self.issuer(per_s, *([need] * nodes))
-        held: list[limits.Permit] = []
+        held: list[tuple[limits.Permit, int]] = []
         used_ms: list[int] = []
-        late: list[tuple[int, int]] = []
+        late: list[tuple[int, tuple[int, int]]] = []
         for now_ms in range(NOW_MS, NOW_MS + 15_000, 50):
             for node in range(nodes):
                 issuer.record_demand(f"n{node}", {POOL: need}, now_ms)
-            due = [serial for at_ms, serial in late if at_ms <= now_ms]
-            issuer.record_used(due)
+            issuer.record_used(use for at_ms, use in late if at_ms <= now_ms)
             late = [item for item in late if item[0] > now_ms]
-            held += issuer.issue(now_ms, REPORT_MS)
-            for permit in list(held):
+            held += [(p, 0) for p in issuer.issue(now_ms, REPORT_MS)]
+            kept = []
+            for permit, used in held:
                 if now_ms - permit.issued_ms >= limits.PERMIT_MS:
-                    held.remove(permit)
-                elif rng.random() < 0.2:
-                    held.remove(permit)
+                    continue
+                if rng.random() < 0.2:
+                    used += 1
                     used_ms.append(now_ms)
-                    delay_ms = rng.randrange(2 * REPORT_MS)
-                    late.append((now_ms + delay_ms, permit.serial))
+                    at_ms = now_ms + rng.randrange(2 * REPORT_MS)
+                    late.append((at_ms, (permit.serial, used)))
+                if used < permit.count:
+                    kept.append((permit, used))
+            held = kept
         for begin_ms in used_ms:
             count = sum(
                 begin_ms <= at_ms < begin_ms + WINDOW_MS for at_ms in used_ms
--- a/packages/gateway/src/quetzalward_gateway/_admission.py
+++ b/packages/gateway/src/quetzalward_gateway/_admission.py
@@ -72,10 +72,13 @@
 
     def record_request(
         self, target: fleet.Target, now_ms: clock.Millis
-    ) -> None:
-        """Count a request that is about to be sent."""
+    ) -> bool:
+        """Count a request that is about to be sent.
+
+        Tells whether it was sent on a permit.
+        """
         self._cold_starts.record_request(target.id, now_ms)
-        self._limits.use_permit(target.key, now_ms)
+        return self._limits.use_permit(target.key, now_ms)
 
     def refusal(
         self,
--- a/packages/gateway/src/quetzalward_gateway/_limit_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_limit_control.py
@@ -75,7 +75,7 @@
             for pool, need in self._limits.demand(now_ms).items()
         )
         repeat_ms = int(REPORTED_STATUSES * interval_ms)
-        used = tuple(self._limits.used_serials(now_ms, repeat_ms))
+        used = tuple(self._limits.used(now_ms, repeat_ms))
         if not observations and not demand and not used:
             return None
         return coordination.LimitReport(
@@ -102,6 +102,7 @@
                     row.serial,
                     (row.target_id, row.born_ms),
                     now_ms - row.age_ms,
+                    row.count,
                 )
                 for row in message.permits
             ],
@@ -169,6 +170,8 @@
         own = self.report(term, now_ms, interval_ms)
         if own is not None:
             self.record(own, now_ms)
+        if self._changed_ms is None and not self._table.listed():
+            return
         directory = self._runtime.state.directory
         born_ms_by_id = {t.id: t.born_ms for t in directory.all()}
         self._table.forget_gone(born_ms_by_id, now_ms)
@@ -185,7 +188,7 @@
         )
         report_ms = int(2 * interval_ms) + DELIVERY_MS
         for permit in self._issuer.issue(now_ms, report_ms):
-            self._runtime.metrics.count("permits")
+            self._runtime.metrics.count("permits", amount=permit.count)
             if permit.node == self._node:
                 self._limits.add_permits(term, [permit], now_ms)
                 continue
@@ -232,7 +235,10 @@
                 term,
                 tuple(
                     coordination.PermitRow(
-                        permit.serial, *permit.key, now_ms - permit.issued_ms
+                        permit.serial,
+                        *permit.key,
+                        now_ms - permit.issued_ms,
+                        permit.count,
                     )
                     for permit in due
                 ),
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -136,7 +136,8 @@
     runtime = call.runtime
     outcomes = runtime.state.outcomes
     started_ms = runtime.now_ms()
-    runtime.state.admission.record_request(target, started_ms)
+    if runtime.state.admission.record_request(target, started_ms):
+        runtime.metrics.count("permits_used")
     try:
         channel = await _channel.connect(
             target.address,
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -52,6 +52,8 @@
     engine: fleet.Engine
     model: fleet.Model
     pool: limits.PoolKey
+    # Groups that were left out for want of a permit.
+    limited_groups: int = 0
 
 
 class NodeState:
@@ -349,6 +351,7 @@
             engine,
             model,
             pool,
+            len(usable) - len(groups),
         )
 
     def _load_age_ms(self, now_ms: clock.Millis) -> float:
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -86,9 +86,10 @@
         # concurrent requests takes it into account.
         self._load.started(tokens, self._call.runtime.now_ms())
         self._prefill_tokens = tokens
-        self._state.admission.record_request(
+        if self._state.admission.record_request(
             self._place.group.head, self._call.runtime.now_ms()
-        )
+        ):
+            self._call.runtime.metrics.count("permits_used")
         try:
             return await self._connect_and_relay()
         finally:
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -204,6 +204,7 @@
             predicted_ms=round(place.first_event_ms),
             load=round(place.load, 1),
             load_age_ms=place.load_age_ms,
+            limited_groups=place.limited_groups,
             limit_per_s=self._state.target_limits.per_s(place.group.head.key),
             first_ms=first_ms,
             longest_pause_ms=self._progress.longest_gap_ms,
--- a/packages/gateway/tests/test_limit_control.py
+++ b/packages/gateway/tests/test_limit_control.py
@@ -153,7 +153,7 @@
         self.exchange(2)
         self.second.limits.follow_term(2)
         before = self.second.sends(self.now_ms)
-        row = coordination.PermitRow(99, "t1", 7, 0)
+        row = coordination.PermitRow(99, "t1", 7, 0, 1)
         self.second.limits.add_permits(
             1,
             [limits.Permit("b", row.serial, TARGET.key, self.now_ms)],
