Follow a limited target to another pool, and a limit that falls

Read from the code, each shown by a test that fails before: a target that became the head of another model's group got its permits by the demand of the old model, so that none of its nodes could send; after a limit had fallen from 8 to 1 a second, the permits in use for the higher one delayed those that followed by seconds.

--- a/packages/core/src/quetzalward_core/limits/_permits.py
+++ b/packages/core/src/quetzalward_core/limits/_permits.py
@@ -94,7 +94,7 @@
         self.updated_ms = now_ms
         self.level += self.per_s * elapsed_ms / clock.MILLIS_PER_SECOND
         room = burst(self.per_s) - self.unused
-        self.level = min(self.level, room)
+        self.level = min(self.level, max(0.0, room))
 
 
 @attrs.define
@@ -128,11 +128,9 @@
         now_ms: clock.Millis,
     ) -> None:
         """Set the limits of all targets; a new one starts without permits."""
-        for key in set(self._bucket_by_key) - set(limits):
-            bucket = self._bucket_by_key.pop(key)
-            for serial, issued in bucket.issued_by_serial.items():
-                del self._key_by_serial[serial]
-                self._held[issued.permit.node, bucket.pool] -= issued.unused
+        for key, bucket in list(self._bucket_by_key.items()):
+            if key not in limits or limits[key][0] != bucket.pool:
+                self._remove(key)
         for key, (pool, named_per_s) in limits.items():
             per_s = max(MIN_PER_S, named_per_s)
             found = self._bucket_by_key.get(key)
@@ -142,6 +140,12 @@
                 found.refill(now_ms)
                 found.per_s = per_s
 
+    def _remove(self, key: _named_limit.TargetKey) -> None:
+        bucket = self._bucket_by_key.pop(key)
+        for serial, issued in bucket.issued_by_serial.items():
+            del self._key_by_serial[serial]
+            self._held[issued.permit.node, bucket.pool] -= issued.unused
+
     def record_demand(
         self,
         node: str,
--- a/packages/core/tests/limits/test_target_limits.py
+++ b/packages/core/tests/limits/test_target_limits.py
@@ -247,6 +247,29 @@
         more = issuer.issue(late_ms + 2_000, REPORT_MS)
         self.assertLessEqual(1 + count + len(more), 0.5 * 6.6 + 2.5)
 
+    def test_target_that_changes_its_pool_serves_the_new_one(self) -> None:
+        """The head of a group may become the head of another model's."""
+        other = ("s", "other")
+        issuer = self.issuer(2.0, limits.PoolDemand(9.0))
+        issuer.issue(NOW_MS + 1_000, REPORT_MS)
+        issuer.set_limits({KEY: (other, 2.0)}, NOW_MS + 1_000)
+        need = {other: limits.PoolDemand(9.0)}
+        issuer.record_demand("n1", need, NOW_MS + 1_000)
+        permits = issuer.issue(NOW_MS + 1_600, REPORT_MS)
+        self.assertEqual(["n1"], [permit.node for permit in permits])
+
+    def test_lower_limit_costs_no_more_than_the_permits_in_use(self) -> None:
+        """Permits for the higher one do not delay those that follow."""
+        issuer = self.issuer(8.0, limits.PoolDemand(9.0))
+        used = issuer.issue(NOW_MS + 2_000, REPORT_MS)
+        issuer.set_limits({KEY: (POOL, 1.0)}, NOW_MS + 2_000)
+        issuer.issue(NOW_MS + 2_100, REPORT_MS)
+        issuer.record_used([(p.serial, p.count) for p in used])
+        need = {POOL: limits.PoolDemand(9.0)}
+        issuer.record_demand("n0", need, NOW_MS + 4_000)
+        permits = issuer.issue(NOW_MS + 4_000, REPORT_MS)
+        self.assertGreaterEqual(len(permits), 1)
+
     def test_limit_without_end_costs_no_more_than_the_demand(self) -> None:
         """Sound targets may name a number that no caller reaches."""
         need = limits.PoolDemand(20.0)
