Bound the permits that a node draws without a coordinator

Draws that have expired are skipped, and a limit counts as 1,000 a second at most while permits are drawn.

--- a/packages/core/src/quetzalward_core/limits/_target_limits.py
+++ b/packages/core/src/quetzalward_core/limits/_target_limits.py
@@ -22,6 +22,8 @@
 # Share of a limit that all nodes together draw permits for.
 DRAWN_SHARE = 0.5
 DRAWN_PERMIT_MS = 1_000
+# Limits above it count as this one while permits are drawn.
+MAX_DRAWN_PER_S = 1_000.0
 # Time for which a node reports an answer to the coordinator, and in which its
 # own answers count for more than an older list.
 REPORT_MS = 1_000
@@ -186,10 +188,14 @@
         if not self._is_coordinator_silent(now_ms):
             limit.next_draw_ms = None
             return
-        per_s = max(_permits.MIN_PER_S, limit.per_s)
+        per_s = min(MAX_DRAWN_PER_S, max(_permits.MIN_PER_S, limit.per_s))
         per_ms = DRAWN_SHARE * per_s / max(1, nodes) / clock.MILLIS_PER_SECOND
         if limit.next_draw_ms is None:
             limit.next_draw_ms = now_ms + self._rng.expovariate(per_ms)
+        # Draws before that have expired.
+        since_ms = now_ms - DRAWN_PERMIT_MS
+        if limit.next_draw_ms < since_ms:
+            limit.next_draw_ms = since_ms + self._rng.expovariate(per_ms)
         while limit.next_draw_ms <= now_ms:
             expires_ms = int(limit.next_draw_ms) + DRAWN_PERMIT_MS
             limit.permits.append(_HeldPermit(expires_ms, None))
--- a/packages/core/tests/limits/test_target_limits.py
+++ b/packages/core/tests/limits/test_target_limits.py
@@ -196,6 +196,20 @@
                     share = len(sent_ms) / (per_s * 20)
                     self.assertGreater(share, 0.2, (nodes, per_s))
 
+    def test_number_of_draws_is_bounded(self) -> None:
+        """A target may name any number, and be chosen rarely."""
+        node_limits = limits.TargetLimits(random.Random(1))
+        notice = limits.LimitNotice(5e5)
+        node_limits.observe(KEY, POOL, notice, NOW_MS, NOW_MS)
+        self.assertFalse(node_limits.allows(KEY, 1, NOW_MS))
+        later_ms = NOW_MS + 2_000
+        count = 0
+        while node_limits.allows(KEY, 1, later_ms) and count < 10_000:
+            node_limits.use_permit(KEY, later_ms)
+            count += 1
+        self.assertGreater(count, 100)
+        self.assertLess(count, 1_000)
+
     def send(self, nodes: int, per_s: float) -> list[int]:
         """Return when nodes that send all they may do so in 20 s."""
         sent_ms = []
