Give the test of targets' limits enough hosts for its callers

It now has the 27 hosts that the other tests have. Heads of groups get fewer requests then and name 0.25 a second.

--- a/packages/bench/tests/functional/test_target_limits.py
+++ b/packages/bench/tests/functional/test_target_limits.py
@@ -11,6 +11,7 @@
 from quetzalward_standins import platform
 
 LIMIT_PER_S = 1.1
+HEAD_LIMIT_PER_S = 0.25
 LIMITED_S = 14.0
 # Time from the end of a limit until its target gets its usual share again.
 RELEASED_S = 8.0
@@ -22,7 +23,6 @@
 class TargetLimitTest(gateway_case.GatewayCase):
     """Guards against nodes that exceed a target's limit together."""
 
-    hosts = 5
     callers = 12
 
     def limited_heads(self) -> list[str]:
@@ -38,9 +38,14 @@
 
     async def limit(self) -> list[platform.Period]:
         """Let targets name a limit for a while; return the periods."""
-        names = [*self.targets.plain_by_id, *self.limited_heads()]
         limits = self.targets.limits
-        periods = [limits.name(name, LIMIT_PER_S) for name in names]
+        periods = [
+            limits.name(name, LIMIT_PER_S) for name in self.targets.plain_by_id
+        ]
+        periods += [
+            limits.name(name, HEAD_LIMIT_PER_S)
+            for name in self.limited_heads()
+        ]
         await asyncio.sleep(LIMITED_S)
         return periods
 
