Send a limit of 0 at once, and begin a term without urgency

Read from the code: a new limit of 0 waited for the next view, and a holder that had lost its term before it sent a new limit would have sent relays with each tick once it held the term again, as long as no target had a limit. The test fails before the change on both.

--- a/packages/gateway/src/quetzalward_gateway/_limit_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_limit_control.py
@@ -131,6 +131,7 @@
         self._known = self._limits.all_limits()
         self._table.adopt(self._known, now_ms)
         self._changed_ms = now_ms if self._known else None
+        self._is_urgent = False
 
     def end_term(self) -> None:
         """Stop listing limits."""
@@ -149,7 +150,7 @@
                 None if age_ms < 0 else now_ms - age_ms,
                 tuple(now_ms - age_ms for age_ms in row.unnamed_ages_ms),
             )
-            if self._table.record(report.node, seen):
+            if self._table.record(report.node, seen) is not None:
                 self._is_urgent = True
         self._issuer.record_demand(
             report.node,
--- a/packages/gateway/tests/test_limit_control.py
+++ b/packages/gateway/tests/test_limit_control.py
@@ -116,6 +116,19 @@
         self.assertGreater(sent, 0.9 * offered)
         self.assertLess(sent, offered + 4.0)
 
+    def test_each_new_limit_is_sent_at_once_and_once(self) -> None:
+        """Also one of 0; a list that is not needed leaves no urgency."""
+        for per_s in (2.0, 0.0):
+            self.setUp()
+            self.first.observe(per_s, self.now_ms, self.now_ms)
+            report = self.first.control.report(1, self.now_ms, INTERVAL_MS)
+            assert report is not None
+            self.holder.control.record(report, self.now_ms)
+            self.assertTrue(self.holder.control.is_urgent)
+            self.holder.control.begin_term(2, self.now_ms)
+            self.holder.control.run(2, self.now_ms, INTERVAL_MS)
+            self.assertFalse(self.holder.control.is_urgent)
+
     def test_end_of_a_limit_reaches_all(self) -> None:
         """Two answers without it, at any nodes, are enough."""
         self.first.observe(2.0, self.now_ms, self.now_ms)
