--- a/packages/gateway/src/quetzalward_gateway/_follower.py
+++ b/packages/gateway/src/quetzalward_gateway/_follower.py
@@ -47,6 +47,8 @@
         self._failing_since_ms: clock.Millis | None = None
         self._backoff = coordination.Backoff(FIRST_RETRY_MS, RETRY_FACTOR)
         self._last_read_sent_ms = 0
+        self._logged_era: int | None = None
+        self._logged_failure = ""
 
     @property
     def offset(self) -> int:
@@ -78,6 +80,10 @@
         self._last_read_sent_ms = self._runtime.now_ms()
         if self._offset is None:
             page = await store.newest(self._topic)
+            self._log_era(page)
+            self._runtime.log.event(
+                "topic_read", topic=self._topic, end=page.end, era=page.era
+            )
             self._apply_snapshot(page, sent_ms)
             self._offset = page.end
             self._buffer.clear()
@@ -85,6 +91,7 @@
             return
         wait_ms = self._wait_ms()
         page = await store.read(self._topic, self._offset, wait_ms)
+        self._log_era(page)
         # Some of the records may have been relayed during the read.
         new_records = tuple(
             r for r in page.records if r.offset >= self._offset
@@ -103,6 +110,9 @@
         self._relied_on_relay = False
         if self._failing_since_ms is None:
             self._failing_since_ms = now_ms
+            self._logged_failure = ""
+        if str(error) != self._logged_failure:
+            self._logged_failure = str(error)
             self._runtime.log.event(
                 "store_lost", topic=self._topic, reason=str(error)
             )
@@ -112,6 +122,20 @@
         pause_ms = self._backoff.record_failure(max_pause_ms)
         await asyncio.sleep(pause_ms / clock.MILLIS_PER_SECOND)
 
+    def _log_era(self, page: _ports.Page) -> None:
+        """Log the era of the store if it has changed."""
+        if page.era == self._logged_era:
+            return
+        self._runtime.log.event(
+            "store_era",
+            topic=self._topic,
+            era=page.era,
+            previous=self._logged_era,
+            offset=self.offset,
+            end=page.end,
+        )
+        self._logged_era = page.era
+
     def _record_success(self) -> None:
         if self._failing_since_ms is not None:
             self._runtime.log.event(
--- a/packages/gateway/src/quetzalward_gateway/_operations.py
+++ b/packages/gateway/src/quetzalward_gateway/_operations.py
@@ -106,6 +106,12 @@
                     routes=len(change.routes),
                     offset=record.offset,
                 )
+            else:
+                runtime.log.event(
+                    "configuration_ignored",
+                    version=change.version,
+                    offset=record.offset,
+                )
         elif isinstance(change, _ports.ZoneEvacuation):
             zones = runtime.state.evacuated_zones
             if change.in_force:
--- a/packages/gateway/src/quetzalward_gateway/_ports.py
+++ b/packages/gateway/src/quetzalward_gateway/_ports.py
@@ -45,6 +45,9 @@
 
     records: tuple[Record, ...]
     end: int
+    # Era of the store that answered; `None` if the answer has none. Offsets
+    # are comparable only within one era.
+    era: int | None = None
 
 
 class KeyedLog(typing.Protocol):
