--- a/packages/bench/tests/functional/gateway_case.py
+++ b/packages/bench/tests/functional/gateway_case.py
@@ -26,9 +26,9 @@
         """Start the stand-ins, gateways and callers, and await service."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        store = platform.Store(random.Random(SEED))
+        self.store = store = platform.Store(random.Random(SEED))
         store_port = await store.server.start()
-        operator = platform.Operator(store, _run.engine())
+        self.operator = operator = platform.Operator(store, _run.engine())
         self.targets = platform.Targets(
             store, _run.engine(), random.Random(SEED), 3, self.hosts, 3
         )
--- a/packages/standins/src/quetzalward_standins/platform/_operator.py
+++ b/packages/standins/src/quetzalward_standins/platform/_operator.py
@@ -22,14 +22,29 @@
         self.keys = {"north": ["key-north"], "south": ["key-south"]}
         # Time of revocation (monotonic clock).
         self.revoked_s_by_key: dict[str, float] = {}
+        self.evacuated_zones: set[str] = set()
 
     def publish(self) -> None:
         """Publish the next version of the configuration."""
         self.version += 3
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
         self._store.put(
             OPERATIONS_TOPIC, "config", json.dumps(self._document()).encode()
         )
 
+    def write_again(self) -> None:
+        """Write what a restored store may have lost, or may have again."""
+        self._write_configuration()
+        for zone in self.evacuated_zones:
+            self.evacuate(zone)
+        prefix = "evacuate/"
+        for key in self._store.topic_by_name[OPERATIONS_TOPIC].newest():
+            zone = key.removeprefix(prefix)
+            if key.startswith(prefix) and zone not in self.evacuated_zones:
+                self.end_evacuation(zone)
+
     def revoke(self, tenant: str) -> str:
         """Replace a customer's key; return the revoked key."""
         old = self.keys[tenant].pop()
@@ -40,10 +55,12 @@
 
     def evacuate(self, zone: str) -> None:
         """Request that no further traffic be sent to a zone."""
+        self.evacuated_zones.add(zone)
         self._store.put(OPERATIONS_TOPIC, f"evacuate/{zone}", b"{}")
 
     def end_evacuation(self, zone: str) -> None:
         """End an evacuation."""
+        self.evacuated_zones.discard(zone)
         self._store.delete(OPERATIONS_TOPIC, f"evacuate/{zone}")
 
     def _document(self) -> dict[str, typing.Any]:
--- a/packages/standins/src/quetzalward_standins/platform/_store.py
+++ b/packages/standins/src/quetzalward_standins/platform/_store.py
@@ -5,6 +5,7 @@
 import json
 import random
 import struct
+import time
 
 import attrs
 
@@ -14,6 +15,7 @@
 _OFFSETS = struct.Struct(">QQ")
 # Topics that only operators and targets write.
 RESERVED_TOPICS = frozenset(("keyed.op", "keyed.servers"))
+ERA_HEADER = "store-era"
 
 
 @attrs.define
@@ -34,12 +36,22 @@
     records: list[tuple[str, bytes]] = attrs.field(factory=list)
     # Records before this offset were deleted.
     first_offset: int = 0
+    # Monotonic time of each record's append.
+    appended_s: list[float] = attrs.field(factory=list)
 
     def append(self, key: str, value: bytes) -> int:
         """Add a record; return its offset."""
         self.records.append((key, value))
+        self.appended_s.append(time.monotonic())
         return len(self.records) - 1
 
+    def restore(self, since_s: float) -> None:
+        """Lose the records that were appended after a time."""
+        while self.appended_s and self.appended_s[-1] > since_s:
+            self.appended_s.pop()
+            self.records.pop()
+        self.first_offset = min(self.first_offset, len(self.records))
+
     def newest(self) -> dict[str, tuple[int, bytes]]:
         """Return the newest record of each key that still has a value."""
         found: dict[str, tuple[int, bytes]] = {}
@@ -56,6 +68,8 @@
         self.faults = Faults()
         self.topic_by_name: dict[str, Topic] = {}
         self.call_count = 0
+        # Rises with each restore; all responses carry it.
+        self.era = 1
         self._rng = rng
         self._changed = asyncio.Event()
         self.server = _http.Server(self._handle)
@@ -76,6 +90,17 @@
         found = self._topic(topic)
         found.first_offset = len(found.records)
 
+    def restore(self, age_s: float) -> None:
+        """Continue from a copy of `age_s` ago, in the next era.
+
+        Operators and targets have to write their records again.
+        """
+        self.era += 1
+        since_s = time.monotonic() - age_s
+        for topic in self.topic_by_name.values():
+            topic.restore(since_s)
+        self._notify()
+
     def _topic(self, name: str) -> Topic:
         return self.topic_by_name.setdefault(name, Topic())
 
@@ -90,7 +115,7 @@
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
         if self.faults.down:
-            reply.send(503)
+            self._send(reply, 503)
             return
         if request.path == "/log-append":
             self._append(request, reply)
@@ -99,18 +124,23 @@
         elif request.path == "/log-newest":
             self._newest(request, reply)
         else:
-            reply.send(404)
+            self._send(reply, 404)
+
+    def _send(
+        self, reply: _http.Reply, status: int, body: bytes = b""
+    ) -> None:
+        reply.send(status, body, {ERA_HEADER: str(self.era)})
 
     def _append(self, request: _http.Request, reply: _http.Reply) -> None:
         name = request.query["topic"]
         if name in RESERVED_TOPICS:
-            reply.send(403)
+            self._send(reply, 403)
             return
         topic = self._topic(name)
         at = request.query.get("at")
         end = len(topic.records)
         if at is not None and int(at) != end:
-            reply.send(412, json.dumps({"end": end}).encode())
+            self._send(reply, 412, json.dumps({"end": end}).encode())
             return
         content = request.body[_LENGTH.size :]
         size = content[0]
@@ -122,31 +152,38 @@
             reply.reset()
             return
         answer = {"offset": offset, "end": offset + 1}
-        reply.send(200, json.dumps(answer).encode())
+        self._send(reply, 200, json.dumps(answer).encode())
 
     async def _read(self, request: _http.Request, reply: _http.Reply) -> None:
         topic = self._topic(request.query["topic"])
         start = int(request.query["from"])
         wait_s = int(request.query.get("waitMs", "0")) / 1000
-        if start < topic.first_offset:
-            reply.send(410, json.dumps({"first": topic.first_offset}).encode())
+        if not topic.first_offset <= start <= len(topic.records):
+            answer = {"first": topic.first_offset}
+            self._send(reply, 410, json.dumps(answer).encode())
             return
+        era = self.era
         loop = asyncio.get_running_loop()
         until = loop.time() + wait_s
-        while len(topic.records) <= start and loop.time() < until:
+        while (
+            self.era == era
+            and len(topic.records) <= start
+            and loop.time() < until
+        ):
             try:
                 async with asyncio.timeout_at(until):
                     await self._changed.wait()
             except TimeoutError:
                 break
-        if self.faults.down:
+        if self.faults.down or self.era != era:
+            # Connections do not outlive a restore.
             reply.reset()
             return
         body = _OFFSETS.pack(len(topic.records), topic.first_offset)
         for key, value in topic.records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += _LENGTH.pack(len(content)) + content
-        reply.send(200, body)
+        self._send(reply, 200, body)
 
     def _newest(self, request: _http.Request, reply: _http.Reply) -> None:
         topic = self._topic(request.query["topic"])
@@ -163,4 +200,4 @@
             "hasMore": False,
             "end": len(topic.records),
         }
-        reply.send(200, json.dumps(answer).encode())
+        self._send(reply, 200, json.dumps(answer).encode())
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -157,6 +157,17 @@
             self.store.delete(TARGETS_TOPIC, target_id)
             self.departure_s_by_id.setdefault(target_id, time.monotonic())
 
+    def write_again(self) -> None:
+        """Write the entries of all targets that a restored store may lack.
+
+        Entries of targets that have gone expire.
+        """
+        self._entry_by_id.clear()
+        self._write_entries()
+        listed = self.store.topic_by_name[TARGETS_TOPIC].newest()
+        for target_id in listed.keys() - self._entry_by_id.keys():
+            self.store.delete(TARGETS_TOPIC, target_id)
+
     def _entry(self, entry: fleet.Target) -> dict[str, object]:
         membership = entry.membership
         return {
