Number terms by the era of the store and their record

A term was numbered by its record's offset alone. After a restore the same number could be given to another node, or a lower one that no node follows; epochs of groups are derived from it, so that hosts would refuse all orders of the new coordinator or take two for one.

The number is now above all that the claimant knows and above those of earlier eras, and part of the record, so that a copy does not change it. A claim that was answered in another era than it was read in begins no term. A holder whose record is lost or another's writes it again.

--- a/packages/core/src/quetzalward_core/coordination/_election.py
+++ b/packages/core/src/quetzalward_core/coordination/_election.py
@@ -1,10 +1,10 @@
 """Election of the node that coordinates, without I/O.
 
 A node claims a term by appending a record to the platform's store on the
-condition that no other record was appended first; the record's offset orders
-the terms. The holder of the term, which is the coordinator, sends heartbeats
-to the other nodes directly, so that the store is only written when the
-coordinator changes.
+condition that no other record was appended first; the era of the store and
+the record's offset order the terms. The holder of the term, which is the
+coordinator, sends heartbeats to the other nodes directly, so that the store is
+only written when the coordinator changes.
 """
 
 import attrs
@@ -35,11 +35,19 @@
 # Time that a node which read a newer record allows for its holder's first
 # message.
 NEW_TERM_GRACE_MS = 1_200
+# Numbers reserved for the terms of one era. The epochs of groups are derived
+# from them and stay below 2**53, which JSON readers represent exactly, up to
+# era 2047.
+TERMS_PER_ERA = 1 << 22
 
 
 @attrs.frozen
 class Term:
-    """A claim in the store; a later one has a higher number."""
+    """A claim in the store; a later one has a higher number.
+
+    The number is part of the record, so that it stays the same when the
+    store is restored, or when the holder writes a lost record again.
+    """
 
     number: int
     node: str
@@ -131,6 +139,15 @@
         elif self._store_stale_since_ms is None:
             self._store_stale_since_ms = now_ms
 
+    def next_number(self, era: int, end: int) -> int:
+        """Return the number of a claim that is appended at `end`.
+
+        It is above those of all terms that this node knows of, and above
+        those of earlier eras, of which it may know none.
+        """
+        known = 0 if self.term is None else self.term.number
+        return max(known, max(0, era) * TERMS_PER_ERA + end) + 1
+
     def record_claim(self, term: Term, now_ms: clock.Millis) -> None:
         """Record that this node's claim was accepted."""
         self._set_term(term, now_ms)
@@ -180,7 +197,11 @@
         )
 
     def _set_term(self, term: Term, now_ms: clock.Millis) -> None:
-        if self.term is not None and self.term.number == term.number:
+        known = self.term
+        if known is not None and (known.number, known.node) == (
+            term.number,
+            term.node,
+        ):
             return
         was_holder = self.is_holder
         self.term = term
--- a/packages/gateway/src/quetzalward_gateway/_terms.py
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -103,29 +103,56 @@
             claim = self.election.update_from_store(term, runtime.now_ms())
             self._quarantine.apply_records(page.records, was_holder)
             if was_holder:
-                await self._write_block(page.end)
+                await self._write_again(term, page.end)
                 return
             if not claim:
                 return
-            value = {
-                "node": self._settings.node,
-                "address": str(self._settings.peers),
-            }
-            appended = await runtime.store.append(
-                topic, _TERM_KEY, json.dumps(value).encode(), page.end
-            )
+            era = runtime.store.era.number
+            number = self.election.next_number(era, page.end)
+            await self._append_term(number, page.end)
+            if runtime.store.era.number != era:
+                # The store was restored meanwhile: in the next era the same
+                # number may be another node's.
+                runtime.log.event("claim_dropped", term=number, era=era)
+                return
         except _ports.StoreError as error:
             runtime.log.event("duty_unknown", reason=str(error))
             self._read_interval_ms = self._backoff.record_failure(
                 STORE_MAX_RETRY_MS
             )
             return
-        self._begin(appended.offset + 1)
+        self._begin(number)
+
+    async def _append_term(self, number: int, end: int) -> None:
+        """Append the record of a term of this node."""
+        value = {
+            "node": self._settings.node,
+            "address": str(self._settings.peers),
+            "number": number,
+        }
+        topic = self._runtime.platform.election_topic
+        await self._runtime.store.append(
+            topic, _TERM_KEY, json.dumps(value).encode(), end
+        )
 
-    async def _write_block(self, end: int) -> None:
-        """Append one of the blocks that the store does not have yet."""
+    async def _write_again(
+        self, stored: coordination.Term | None, end: int
+    ) -> None:
+        """Append one of this holder's records that the store does not have.
+
+        A restored store may lack the term and blocks.
+        """
+        if not self.is_holder:
+            return
+        if stored is None or (stored.number, stored.node) != (
+            self.number,
+            self._settings.node,
+        ):
+            await self._append_term(self.number, end)
+            self._runtime.log.event("duty_written_again", term=self.number)
+            return
         write = self._quarantine.next_write()
-        if write is None or not self.is_holder:
+        if write is None:
             return
         runtime = self._runtime
         key, value = write
@@ -140,7 +167,8 @@
             try:
                 value = json.loads(record.value)
                 return coordination.Term(
-                    record.offset + 1,
+                    # Records of earlier versions have no number.
+                    int(value.get("number", record.offset + 1)),
                     str(value["node"]),
                     str(value["address"]),
                 )
@@ -148,6 +176,8 @@
                 ValueError,
                 KeyError,
                 TypeError,
+                AttributeError,
+                OverflowError,
                 RecursionError,
             ) as error:
                 self._runtime.log.event("duty_unreadable", reason=str(error))
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -94,6 +94,7 @@
 
     operations_topic = "operations"
     targets_topic = "targets"
+    election_topic = "election"
 
     def __init__(self) -> None:
         """Start with an empty store."""
