Keep the configuration in force over a restore, and ask the other nodes

A node that had been cut off before took it for proof that it had missed nothing, and one that started then put the older version in force, with keys that had been revoked.

After a restore, and when it starts, a node confirms its configuration only with word from a node that knows what was in force before, or after a time of grace (3 s, or 1 s after a start). Statuses and views carry the version in force; who has a later one than the store sends it as a copy. An equal version with other content counts if it was written in a later era. Versions below the one in force are followed after 30 s, since operators may have begun to count anew.

Unit tests play each case on two nodes; that of a cut-off node and of the copy could not be written before, since no node knew another's version.

--- a/packages/core/src/quetzalward_core/coordination/__init__.py
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -2,6 +2,7 @@
 
 from quetzalward_core.coordination._backoff import Backoff
 from quetzalward_core.coordination._election import Election
+from quetzalward_core.coordination._election import first_number
 from quetzalward_core.coordination._election import LOW_CAPACITY_DELAY_MS
 from quetzalward_core.coordination._election import Term
 from quetzalward_core.coordination._limit_messages import DemandRow
@@ -11,6 +12,7 @@
 from quetzalward_core.coordination._limit_messages import ObservationRow
 from quetzalward_core.coordination._limit_messages import PermitGrant
 from quetzalward_core.coordination._limit_messages import PermitRow
+from quetzalward_core.coordination._messages import ConfigurationCopy
 from quetzalward_core.coordination._messages import decode
 from quetzalward_core.coordination._messages import encode
 from quetzalward_core.coordination._messages import GroupEntry
@@ -48,6 +50,7 @@
 __all__ = [
     "Backoff",
     "BlockRow",
+    "ConfigurationCopy",
     "CrashReport",
     "CrashRow",
     "DemandRow",
@@ -86,6 +89,7 @@
     "View",
     "decode",
     "encode",
+    "first_number",
     "message_interval_ms",
     "relay_interval_ms",
     "split_echo",
--- a/packages/core/src/quetzalward_core/coordination/_election.py
+++ b/packages/core/src/quetzalward_core/coordination/_election.py
@@ -41,6 +41,11 @@
 TERMS_PER_ERA = 1 << 22
 
 
+def first_number(era: int) -> int:
+    """Return the lowest number of a term that is claimed in an era."""
+    return max(0, era) * TERMS_PER_ERA + 1
+
+
 @attrs.frozen
 class Term:
     """A claim in the store; a later one has a higher number.
@@ -146,7 +151,7 @@
         those of earlier eras, of which it may know none.
         """
         known = 0 if self.term is None else self.term.number
-        return max(known, max(0, era) * TERMS_PER_ERA + end) + 1
+        return max(known + 1, first_number(era) + end)
 
     def record_claim(self, term: Term, now_ms: clock.Millis) -> None:
         """Record that this node's claim was accepted."""
--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -57,6 +57,12 @@
     targets_offset: int = -1
     # Era of the store in which both offsets were given out.
     era: int = _store_era.UNKNOWN_ERA
+    # Precedence of the configuration in force.
+    numbering: int = -1
+    version: int = -1
+    # Whether the node knows what was in force before the last restore of the
+    # store; 0 or 1.
+    is_informed: int = 0
 
 
 @attrs.frozen
@@ -119,6 +125,23 @@
     # Time for which removals of targets are still deferred after an outage of
     # the store.
     removal_deferral_ms: int = 0
+    # Precedence of the configuration in force at the coordinator.
+    numbering: int = -1
+    version: int = -1
+    # Whether the coordinator knows it to be the latest.
+    is_settled: bool = False
+
+
+@attrs.frozen
+class ConfigurationCopy:
+    """The configuration in force, for a node to which the store lost it."""
+
+    node: str
+    numbering: int
+    version: int
+    # The operators' record.
+    key: str
+    value: str
 
 
 @attrs.frozen
@@ -201,6 +224,7 @@
 _STATUS = "status"
 _VIEW = "view"
 _RELAY = "relay"
+_CONFIGURATION_COPY = "configuration"
 _CRASH_REPORT = "crashes"
 _QUARANTINE_VIEW = "quarantine"
 _LIMIT_REPORT = "limit-report"
@@ -210,6 +234,7 @@
     Status: _STATUS,
     View: _VIEW,
     Relay: _RELAY,
+    ConfigurationCopy: _CONFIGURATION_COPY,
     _quarantine_messages.CrashReport: _CRASH_REPORT,
     _quarantine_messages.QuarantineView: _QUARANTINE_VIEW,
     _limit_messages.LimitReport: _LIMIT_REPORT,
@@ -221,6 +246,7 @@
     Status
     | View
     | Relay
+    | ConfigurationCopy
     | _quarantine_messages.CrashReport
     | _quarantine_messages.QuarantineView
     | _limit_messages.LimitReport
@@ -243,12 +269,23 @@
     """Return the decoded store part of a message."""
     if row is None:
         return None
-    era, operations, targets, removal_deferral_ms = row
+    (
+        era,
+        operations,
+        targets,
+        removal_deferral_ms,
+        numbering,
+        version,
+        is_settled,
+    ) = row
     return StoreView(
         int(era),
         _topic_view(operations),
         _topic_view(targets),
         int(removal_deferral_ms),
+        int(numbering),
+        int(version),
+        bool(is_settled),
     )
 
 
@@ -317,6 +354,13 @@
     )
 
 
+def _configuration_copy(row: list[typing.Any]) -> ConfigurationCopy:
+    node, numbering, version, key, value = row
+    return ConfigurationCopy(
+        str(node), int(numbering), int(version), str(key), str(value)
+    )
+
+
 def _relay(row: list[typing.Any]) -> Relay:
     node, term, address, sent_ms, store, is_leaving = row
     return Relay(
@@ -447,6 +491,7 @@
 ] = {
     _STATUS: _status,
     _RELAY: _relay,
+    _CONFIGURATION_COPY: _configuration_copy,
     _VIEW: _view,
     _CRASH_REPORT: _quarantine_messages.crash_report,
     _QUARANTINE_VIEW: _quarantine_messages.quarantine_view,
--- a/packages/core/src/quetzalward_core/fleet/__init__.py
+++ b/packages/core/src/quetzalward_core/fleet/__init__.py
@@ -16,6 +16,11 @@
 from quetzalward_core.fleet._model import Service
 from quetzalward_core.fleet._model import Target
 from quetzalward_core.fleet._model import TargetReport
+from quetzalward_core.fleet._precedence import ConfirmationGate
+from quetzalward_core.fleet._precedence import Precedence
+from quetzalward_core.fleet._precedence import RENUMBER_MS
+from quetzalward_core.fleet._precedence import REWRITE_GRACE_MS
+from quetzalward_core.fleet._precedence import START_GRACE_MS
 from quetzalward_core.fleet._routes import pick_service
 from quetzalward_core.fleet._routes import RouteTable
 
@@ -23,6 +28,7 @@
     "Address",
     "CallerLimits",
     "Configuration",
+    "ConfirmationGate",
     "Customer",
     "Directory",
     "Engine",
@@ -30,10 +36,14 @@
     "MemberState",
     "Membership",
     "Model",
+    "Precedence",
+    "RENUMBER_MS",
     "RETURN_GRACE_MS",
+    "REWRITE_GRACE_MS",
     "RequestKind",
     "Route",
     "RouteTable",
+    "START_GRACE_MS",
     "Service",
     "Target",
     "TargetReport",
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -5,6 +5,7 @@
 import signal
 
 from quetzalward_core import clock
+from quetzalward_core import fleet
 from quetzalward_gateway import _coordinator_task
 from quetzalward_gateway import _exchange
 from quetzalward_gateway import _log
@@ -105,6 +106,9 @@
         loop.add_signal_handler(signal.SIGHUP, self._handle_sighup)
         log = self.runtime.log
         log.event("start", zone=self._settings.zone)
+        self.runtime.state.confirmation.begin(
+            self.runtime.now_ms(), fleet.START_GRACE_MS
+        )
         await self._callers.start(self._settings.callers)
         await self._readiness.start(self._settings.readiness)
         await self._serve_metrics()
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -24,6 +24,10 @@
 # Time for which a new holder writes to all nodes that it knows of. After that
 # it writes to those that sent it a status.
 ANNOUNCE_MS = 3_000
+# Largest copy of a configuration, after compression, that fits a datagram.
+MAX_COPY_BYTES = 60_000
+# Nodes, on average, that send the holder a copy in answer to one message.
+COPY_SENDERS = 3
 
 # Peer and term of a clock, which restarts with its process.
 _ClockKey = tuple[str, int]
@@ -59,6 +63,7 @@
         self._targets = targets
         self._runtime = runtime
         self._settings = settings
+        self._rng = random.Random(f"{settings.node}-copies")
         self._quarantine = _quarantine_control.QuarantineControl(
             runtime, settings.node
         )
@@ -152,6 +157,10 @@
         if isinstance(message, coordination.Status):
             if self.is_holder:
                 self._reports.record(message, sender, now_ms)
+                self._hear_status(message, sender, now_ms)
+            return
+        if isinstance(message, coordination.ConfigurationCopy):
+            self._operations.apply_copy(message)
             return
         if isinstance(message, coordination.CrashReport):
             if self.is_holder:
@@ -188,12 +197,75 @@
             store.operations.age_ms if store else None, now_ms
         )
         if store is not None:
+            self._hear_holder(store, sender, now_ms)
             self._operations.apply_relayed_view(
                 store.operations, store.era, sent_ms
             )
             self._targets.set_relayed_deferral(store.removal_deferral_ms)
             self._targets.apply_relayed_view(store.targets, store.era, sent_ms)
 
+    # What other nodes have in force.
+
+    def _hear_status(
+        self,
+        status: coordination.Status,
+        sender: fleet.Address,
+        now_ms: clock.Millis,
+    ) -> None:
+        """As the holder, compare a node's configuration with this one's."""
+        state, known = self._runtime.state, status.known
+        precedence = fleet.Precedence(known.numbering, known.version)
+        state.confirmation.hear(precedence, bool(known.is_informed), now_ms)
+        has_all_records = (known.era, known.operations_offset) == (
+            self._runtime.store.era.number,
+            self._operations.offset,
+        )
+        if has_all_records and precedence < state.precedence:
+            self._send_copy(sender)
+
+    def _hear_holder(
+        self,
+        store: coordination.StoreView,
+        holder: fleet.Address,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Compare the holder's configuration with this node's."""
+        state = self._runtime.state
+        if store.era != self._runtime.store.era.number:
+            return
+        precedence = fleet.Precedence(store.numbering, store.version)
+        state.confirmation.hear(precedence, store.is_settled, now_ms)
+        if (
+            store.operations.end == self._operations.offset
+            and precedence < state.precedence
+            and self._rng.random() * state.node_count < COPY_SENDERS
+        ):
+            self._send_copy(holder)
+
+    def _send_copy(self, recipient: fleet.Address) -> None:
+        """Send the configuration in force to a node that lacks it."""
+        state = self._runtime.state
+        record = state.configuration_record
+        if record is None or record.value is None:
+            return
+        data = coordination.encode(
+            coordination.ConfigurationCopy(
+                self._settings.node,
+                state.precedence.numbering,
+                state.precedence.version,
+                record.key,
+                record.value.decode("utf-8", "replace"),
+            )
+        )
+        if len(data) > MAX_COPY_BYTES:
+            self._runtime.log.event(
+                "configuration_too_large_to_send",
+                version=state.precedence.version,
+                bytes=len(data),
+            )
+            return
+        self._socket.send(data, recipient)
+
     def _apply_from_holder(
         self,
         message: (
@@ -323,6 +395,9 @@
             self._operations.offset,
             self._targets.offset,
             self._runtime.store.era.number,
+            self._runtime.state.precedence.numbering,
+            self._runtime.state.precedence.version,
+            int(self._runtime.state.confirmation.is_informed),
         )
 
     def _send_to_nodes(
@@ -438,6 +513,15 @@
         targets = self._targets.view(known.targets_offset)
         if operations is None or targets is None:
             return None
+        state = self._runtime.state
         return coordination.StoreView(
-            era, operations, targets, self._targets.removal_deferral_ms()
+            era,
+            operations,
+            targets,
+            self._targets.removal_deferral_ms(),
+            state.precedence.numbering,
+            state.precedence.version,
+            state.confirmation.is_settled(
+                state.precedence, self._runtime.now_ms()
+            ),
         )
--- a/packages/gateway/src/quetzalward_gateway/_follower.py
+++ b/packages/gateway/src/quetzalward_gateway/_follower.py
@@ -126,7 +126,11 @@
             previous_era=self._era,
             previous_offset=self._offset,
         )
-        self._apply_snapshot(page, sent_ms)
+        is_restored = self._era not in (
+            coordination.UNKNOWN_ERA,
+            store.era.number,
+        )
+        self._apply_snapshot(page, sent_ms, is_restored)
         self._offset = page.end
         self._era = store.era.number
         self._relayed_end = -1
@@ -274,8 +278,13 @@
         raise NotImplementedError
 
     def _apply_snapshot(
-        self, page: _ports.Page, sent_ms: clock.Millis
+        self, page: _ports.Page, sent_ms: clock.Millis, is_restored: bool
     ) -> None:
+        """Apply the newest record of every key.
+
+        With `is_restored`, they are the first ones after a restore of the
+        store, and may be older than what this node has applied.
+        """
         raise NotImplementedError
 
     def _apply_relayed(
--- a/packages/gateway/src/quetzalward_gateway/_operations.py
+++ b/packages/gateway/src/quetzalward_gateway/_operations.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 
+import attrs
+
 from quetzalward_core import clock
 from quetzalward_core import coordination
 from quetzalward_core import fleet
@@ -15,6 +17,15 @@
 READ_WAIT_MS = 1_800
 
 
+@attrs.frozen
+class _PrecedingConfiguration:
+    """A configuration of the store that precedes the one in force."""
+
+    configuration: fleet.Configuration
+    record: _ports.Record
+    since_ms: clock.Millis
+
+
 class OperationsFollower(_follower.Follower):
     """Applies configurations and zone evacuations."""
 
@@ -31,6 +42,10 @@
         )
         topic = runtime.platform.operations_topic
         super().__init__(runtime, topic, timing, is_holder)
+        # Time, including suspension, at which the topic ended at the offset.
+        self._complete_ms: clock.Millis | None = None
+        # The store's configuration while it precedes the one in force.
+        self._preceding: _PrecedingConfiguration | None = None
 
     def _apply_relayed(
         self,
@@ -39,13 +54,13 @@
     ) -> None:
         for record in records:
             self._apply_record(record)
-        self._runtime.state.freshness.confirm(confirmed_boot_ms)
+        self._confirm(confirmed_boot_ms)
 
     def _clock_ms(self) -> clock.Millis:
         return self._runtime.boot_ms()
 
     def _confirmed_ms(self) -> clock.Millis | None:
-        return self._runtime.state.freshness.confirmed_ms
+        return self._complete_ms
 
     def _wait_ms(self) -> clock.Millis:
         if self._is_holder():
@@ -55,9 +70,24 @@
     async def _pause(self) -> None:
         """Return at once, since the read itself waits for changes."""
 
+    def _confirm(self, at_ms: clock.Millis) -> None:
+        """Record that the topic ended at the offset at a time.
+
+        That confirms the configuration in force, unless the store may lack
+        a later one.
+        """
+        if self._complete_ms is None or at_ms > self._complete_ms:
+            self._complete_ms = at_ms
+        state, now_ms = self._runtime.state, self._runtime.now_ms()
+        self._apply_preceding(now_ms)
+        if state.confirmation.is_settled(state.precedence, now_ms):
+            state.freshness.confirm(at_ms)
+
     def _apply_snapshot(
-        self, page: _ports.Page, sent_ms: clock.Millis
+        self, page: _ports.Page, sent_ms: clock.Millis, is_restored: bool
     ) -> None:
+        if is_restored:
+            self._begin_era()
         zones = set()
         for record in page.records:
             change = self._apply_record(record)
@@ -67,7 +97,15 @@
         for zone in state.evacuated_zones - zones:
             self._runtime.log.event("zone_returned", zone=zone)
         state.evacuated_zones.intersection_update(zones)
-        state.freshness.confirm(sent_ms)
+        self._confirm(sent_ms)
+
+    def _begin_era(self) -> None:
+        """Wait for word of the other nodes after a restore of the store."""
+        state = self._runtime.state
+        if state.node_count > 1:
+            state.confirmation.begin(
+                self._runtime.now_ms(), fleet.REWRITE_GRACE_MS
+            )
 
     def _apply_page(
         self,
@@ -85,33 +123,47 @@
             # wait.
             elapsed = self._runtime.boot_ms() - sent_ms
             confirmed += read_wait_ms if elapsed >= read_wait_ms else 0
-        self._runtime.state.freshness.confirm(confirmed)
+        self._confirm(confirmed)
+
+    def _apply_preceding(self, now_ms: clock.Millis) -> None:
+        """Follow operators who have begun to count versions anew."""
+        found = self._preceding
+        if found is None or now_ms - found.since_ms < fleet.RENUMBER_MS:
+            return
+        self._preceding = None
+        self._runtime.log.event(
+            "versions_begin_anew",
+            version=found.configuration.version,
+            after_ms=now_ms - found.since_ms,
+        )
+        self._put_in_force(
+            found.configuration,
+            found.record,
+            self._runtime.store.era.number,
+        )
+
+    def apply_copy(self, copy: coordination.ConfigurationCopy) -> None:
+        """Apply the configuration of another node, if it is a later one."""
+        if copy.numbering < 0 or self._runtime.store.era.number < 0:
+            return
+        record = _ports.Record(-1, copy.key, copy.value.encode())
+        change = self._decode(record)
+        if (
+            isinstance(change, fleet.Configuration)
+            and change.version == copy.version
+            and fleet.Precedence(copy.numbering, copy.version)
+            > self._runtime.state.precedence
+        ):
+            self._put_in_force(change, record, copy.numbering, copy.node)
 
     def _apply_record(
         self, record: _ports.Record
     ) -> fleet.Configuration | _ports.ZoneEvacuation | None:
         runtime = self._runtime
-        try:
-            change = runtime.platform.decode_operation(record)
-        except ValueError as error:
-            runtime.log.event(
-                "operation_unreadable", key=record.key, reason=str(error)
-            )
-            return None
+        change = self._decode(record)
         if isinstance(change, fleet.Configuration):
-            if runtime.state.apply_configuration(change):
-                runtime.log.event(
-                    "configuration_in_force",
-                    version=change.version,
-                    routes=len(change.routes),
-                    offset=record.offset,
-                )
-            else:
-                runtime.log.event(
-                    "configuration_ignored",
-                    version=change.version,
-                    offset=record.offset,
-                )
+            self._put_in_force(change, record)
+            self._note_preceding(change, record)
         elif isinstance(change, _ports.ZoneEvacuation):
             zones = runtime.state.evacuated_zones
             if change.in_force:
@@ -123,3 +175,55 @@
                 zone=change.zone,
             )
         return change
+
+    def _note_preceding(
+        self, configuration: fleet.Configuration, record: _ports.Record
+    ) -> None:
+        """Remember since when the store's configuration precedes ours."""
+        state = self._runtime.state
+        is_preceding = (
+            configuration.version < state.precedence.version
+            and self._runtime.store.era.number > state.configuration_era
+        )
+        if not is_preceding:
+            self._preceding = None
+            return
+        since_ms = self._runtime.now_ms()
+        if self._preceding is not None:
+            since_ms = self._preceding.since_ms
+        self._preceding = _PrecedingConfiguration(
+            configuration, record, since_ms
+        )
+
+    def _decode(
+        self, record: _ports.Record
+    ) -> fleet.Configuration | _ports.ZoneEvacuation | None:
+        try:
+            return self._runtime.platform.decode_operation(record)
+        except ValueError as error:
+            self._runtime.log.event(
+                "operation_unreadable", key=record.key, reason=str(error)
+            )
+            return None
+
+    def _put_in_force(
+        self,
+        configuration: fleet.Configuration,
+        record: _ports.Record,
+        numbering: int | None = None,
+        sender: str | None = None,
+    ) -> None:
+        """Put a configuration in force unless it precedes the present one."""
+        runtime = self._runtime
+        era = runtime.store.era.number
+        is_later = runtime.state.apply_configuration(
+            configuration, record, era, numbering
+        )
+        runtime.log.event(
+            "configuration_in_force" if is_later else "configuration_ignored",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            offset=record.offset,
+            era=era,
+            sender=sender,
+        )
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -66,6 +66,12 @@
         self._settings = settings
         self._rng = rng
         self.configuration: fleet.Configuration | None = None
+        self.precedence = fleet.Precedence()
+        # The operators' record of the configuration, and the era of the store
+        # in which it was read.
+        self.configuration_record: _ports.Record | None = None
+        self.configuration_era = coordination.UNKNOWN_ERA
+        self.confirmation = fleet.ConfirmationGate()
         self._routes = fleet.RouteTable(())
         self.evacuated_zones: set[str] = set()
         self.directory = fleet.Directory()
@@ -113,12 +119,33 @@
 
     # Updates from the store.
 
-    def apply_configuration(self, configuration: fleet.Configuration) -> bool:
-        """Put a configuration in force; false if it is not newer."""
-        current = self.configuration
-        if current is not None and configuration.version <= current.version:
+    def apply_configuration(
+        self,
+        configuration: fleet.Configuration,
+        record: _ports.Record,
+        era: int,
+        numbering: int | None = None,
+    ) -> bool:
+        """Put a configuration in force; false if it is not a later one.
+
+        It was read in an era of the store. `numbering` is that of the one in
+        force unless the versions have begun anew.
+        """
+        current = self.precedence
+        if numbering is None:
+            numbering = max(0, current.numbering)
+        precedence = fleet.Precedence(numbering, configuration.version)
+        if precedence < current:
+            return False
+        if precedence == current and (
+            era <= self.configuration_era
+            or configuration == self.configuration
+        ):
             return False
+        self.precedence = precedence
         self.configuration = configuration
+        self.configuration_record = record
+        self.configuration_era = era
         self._routes = fleet.RouteTable(configuration.routes)
         return True
 
--- a/packages/gateway/src/quetzalward_gateway/_target_entries.py
+++ b/packages/gateway/src/quetzalward_gateway/_target_entries.py
@@ -95,7 +95,7 @@
         await asyncio.sleep(interval_ms / clock.MILLIS_PER_SECOND)
 
     def _apply_snapshot(
-        self, page: _ports.Page, sent_ms: clock.Millis
+        self, page: _ports.Page, sent_ms: clock.Millis, is_restored: bool
     ) -> None:
         runtime = self._runtime
         now_ms = runtime.now_ms()
--- a/packages/gateway/src/quetzalward_gateway/_terms.py
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -6,6 +6,7 @@
 
 from quetzalward_core import clock
 from quetzalward_core import coordination
+from quetzalward_core import fleet
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _quarantine_control
 from quetzalward_gateway import _runtime
@@ -65,6 +66,7 @@
             STORE_RETRY_MS, STORE_RETRY_FACTOR
         )
         self._task: asyncio.Task[None] | None = None
+        self._has_considered_restore = False
 
     @property
     def is_holder(self) -> bool:
@@ -100,6 +102,7 @@
             self._backoff.record_success()
             self._read_interval_ms = STORE_RETRY_MS
             term = self._decode(page)
+            self._consider_restore(term)
             claim = self.election.update_from_store(term, runtime.now_ms())
             self._quarantine.apply_records(page.records, was_holder)
             if was_holder:
@@ -123,6 +126,22 @@
             return
         self._begin(number)
 
+    def _consider_restore(self, stored: coordination.Term | None) -> None:
+        """Tell a node that has started whether a restore may be recent.
+
+        A term of an earlier era is from before a restore, which may have
+        been just now. Without any term, no node has run before.
+        """
+        state, era = self._runtime.state, self._runtime.store.era.number
+        gate = state.confirmation
+        if gate.is_informed or self._has_considered_restore:
+            return
+        self._has_considered_restore = True
+        if stored is None:
+            gate.settle()
+        elif stored.number < coordination.first_number(era):
+            gate.begin(self._runtime.now_ms(), fleet.REWRITE_GRACE_MS)
+
     async def _append_term(self, number: int, end: int) -> None:
         """Append the record of a term of this node."""
         value = {
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -28,9 +28,14 @@
     )
 
 
-def configuration(version: int) -> fleet.Configuration:
-    """Return a configuration without routes."""
-    return fleet.Configuration(version, (), {}, {}, fleet.CallerLimits())
+def configuration(
+    version: int, keys: typing.Iterable[str] = ()
+) -> fleet.Configuration:
+    """Return a configuration without routes, with some API keys."""
+    customer_by_key = {key: fleet.Customer("c") for key in keys}
+    return fleet.Configuration(
+        version, (), {}, customer_by_key, fleet.CallerLimits()
+    )
 
 
 class KeyedLog:
@@ -101,8 +106,9 @@
         self.store = KeyedLog()
 
     def decode_operation(self, record: _ports.Record) -> fleet.Configuration:
-        """Return a configuration of the version at the start of the record."""
-        return configuration(int((record.value or b"0").split()[0]))
+        """Return a configuration: a version, and API keys behind it."""
+        words = (record.value or b"0").decode().split() or [""]
+        return configuration(int(words[0]), words[1:])
 
     def decode_answer(self, head: _http.ResponseHead) -> _ports.TargetAnswer:
         """Return a sealed answer; a 503 says that nothing was executed."""
--- a/packages/gateway/tests/test_restored_store.py
+++ b/packages/gateway/tests/test_restored_store.py
@@ -7,6 +7,7 @@
 import fakes
 
 from quetzalward_core import coordination
+from quetzalward_core import fleet
 from quetzalward_gateway import _operations
 from quetzalward_gateway import _ports
 
@@ -162,5 +163,118 @@
         self.assertEqual((1, 9), (self.node._era, self.version()))
 
 
+class VersionInForceTest(RestoreCase):
+    """Guards against versions that come back older after a restore."""
+
+    def settle(self, version: int) -> None:
+        """Let the node hear of the version in force at a settled holder."""
+        self.node_runtime.state.confirmation.hear(
+            fleet.Precedence(0, version), True, self.node_runtime.now_ms()
+        )
+
+    def is_fresh(self) -> bool:
+        """Tell whether the node has confirmed its configuration just now."""
+        age_ms = self.node_runtime.state.freshness.age_ms(
+            self.node_runtime.boot_ms()
+        )
+        return age_ms is not None and age_ms < 500
+
+    def copy(self, version: int) -> coordination.ConfigurationCopy:
+        """Return another node's copy of a version."""
+        return coordination.ConfigurationCopy(
+            "b", 0, version, "config", str(version)
+        )
+
+    def restore(self, lost: int) -> None:
+        """Restore the store, which was away for a while."""
+        self.holder_runtime.time.advance(2_000)
+        self.store.restore(lost)
+        self.read_node()
+
+    def test_older_version_of_the_copy_is_not_put_in_force(self) -> None:
+        """Callers would get 404 for a route that was confirmed."""
+        self.restore(lost=2)
+        self.assertEqual(3, self.version())
+
+    def test_copy_confirms_nothing_without_word_of_others(self) -> None:
+        """The node may have missed a version that the copy lacks."""
+        self.restore(lost=2)
+        self.assertFalse(self.is_fresh())
+        self.settle(3)
+        self.read_node()
+        self.assertTrue(self.is_fresh())
+
+    def test_node_that_missed_a_version_gets_it_from_another(self) -> None:
+        """It was cut off when the others applied version 4."""
+        self.restore(lost=1)
+        self.settle(4)
+        self.read_node()
+        self.assertFalse(self.is_fresh())
+        self.node.apply_copy(self.copy(4))
+        self.read_node()
+        self.assertEqual(4, self.version())
+        self.assertTrue(self.is_fresh())
+
+    def test_node_alone_waits_for_operators_to_write_again(self) -> None:
+        """Not for ever: what they wrote then is the latest."""
+        self.restore(lost=2)
+        self.holder_runtime.time.advance(fleet.REWRITE_GRACE_MS)
+        self.read_node()
+        self.assertTrue(self.is_fresh())
+
+    def test_word_of_a_lost_version_does_not_block_for_ever(self) -> None:
+        """The only node that knew it may have ended."""
+        self.restore(lost=1)
+        self.settle(9)
+        self.holder_runtime.time.advance(2_500)
+        self.read_node()
+        self.assertTrue(self.is_fresh())
+
+    def test_other_content_of_a_version_in_a_later_era_counts(self) -> None:
+        """Operators may give a lost version's number to another change."""
+        self.restore(lost=1)
+        self.store.put("config", "3 other")
+        self.read_node()
+        found = self.node_runtime.state.configuration
+        assert found is not None
+        self.assertEqual(("3", "other"), (str(found.version), routes(found)))
+
+    def test_same_version_with_other_content_in_one_era_is_ignored(
+        self,
+    ) -> None:
+        """Versions rise within an era."""
+        self.store.put("config", "3 other")
+        self.read_node()
+        found = self.node_runtime.state.configuration
+        assert found is not None
+        self.assertEqual("", routes(found))
+
+    def test_versions_that_begin_anew_are_followed_in_the_end(self) -> None:
+        """A version below the one in force would be ignored for ever."""
+        self.restore(lost=2)
+        self.settle(3)
+        self.store.put("config", "2")
+        for _ in range(2):
+            self.read_node()
+            self.assertEqual(3, self.version())
+            self.holder_runtime.time.advance(fleet.RENUMBER_MS // 2)
+        self.read_node()
+        self.assertEqual(2, self.version())
+        self.node.apply_copy(self.copy(3))
+        self.assertEqual(2, self.version())
+
+    def test_invalid_copy_changes_nothing(self) -> None:
+        """A copy comes from the network and may be anything."""
+        for value in ("", "x", "4"):
+            copy = coordination.ConfigurationCopy("b", 0, 5, "config", value)
+            self.node.apply_copy(copy)
+        self.assertEqual(3, self.version())
+
+
+def routes(configuration: fleet.Configuration) -> str:
+    """Return what the fakes keep of a record beside its version."""
+    return " ".join(configuration.customer_by_key)
+
+
 if __name__ == "__main__":
     unittest.main()
