Keep evacuations, drains and removals that a restored store lost

The first read after a restore is of an older copy: it listed targets as ready that this node knew to be draining or gone, and lacked evacuations. Rules EVAC and DRAIN bind a node by what it has acknowledged.

An entry that is older than the known one of the same life is left out, one of a removed target counts only if the store still lists it after the 2 s in which targets write again, missing ones are kept as long. Evacuations that the copy lacks stay in force for 3 s unless the operators write.

--- a/packages/core/src/quetzalward_core/fleet/_directory.py
+++ b/packages/core/src/quetzalward_core/fleet/_directory.py
@@ -12,6 +12,9 @@
 RETURN_GRACE_MS = 2_000
 # A shorter outage cannot make an entry expire.
 MIN_OUTAGE_MS = 1_500
+# Time for which a removed entry is remembered. A store is restored from a copy
+# that is some seconds old, in which the entry may still be.
+REMOVED_MAX_AGE_MS = 60_000
 
 
 @attrs.frozen
@@ -29,6 +32,10 @@
         """Start without targets."""
         self._entry_by_id: dict[str, ReceivedEntry] = {}
         self._expired_ms_by_id: dict[str, clock.Millis] = {}
+        # Last entries of targets that were removed.
+        self._removed_by_id: dict[str, ReceivedEntry] = {}
+        # Entries of removed targets that a restored store lists again.
+        self._returning_by_id: dict[str, _model.Target] = {}
         self._last_contact_ms: clock.Millis | None = None
         self._removals_trusted_from_ms: clock.Millis = 0
         self.complete = False
@@ -81,43 +88,109 @@
     def put(self, target: _model.Target, now_ms: clock.Millis) -> None:
         """Add an entry; it replaces the one of the same id."""
         self._expired_ms_by_id.pop(target.id, None)
+        self._returning_by_id.pop(target.id, None)
         self._entry_by_id[target.id] = ReceivedEntry(target, now_ms)
 
     def remove(self, target_id: str, now_ms: clock.Millis) -> bool:
         """Remove an entry; false if that is deferred after an outage."""
+        self._returning_by_id.pop(target_id, None)
         if target_id not in self._entry_by_id:
             return True
         if now_ms < self._removals_trusted_from_ms:
             self._expired_ms_by_id.setdefault(target_id, now_ms)
             return False
-        del self._entry_by_id[target_id]
+        self._forget(target_id, now_ms)
         self._expired_ms_by_id.pop(target_id, None)
         return True
 
+    def _forget(self, target_id: str, now_ms: clock.Millis) -> None:
+        entry = self._entry_by_id.pop(target_id, None)
+        if entry is None:
+            return
+        self._removed_by_id.pop(target_id, None)
+        self._removed_by_id[target_id] = ReceivedEntry(entry.target, now_ms)
+        for removed_id, removed in list(self._removed_by_id.items()):
+            if now_ms - removed.received_ms <= REMOVED_MAX_AGE_MS:
+                break
+            del self._removed_by_id[removed_id]
+
     def replace(
         self,
         targets: typing.Iterable[_model.Target],
         now_ms: clock.Millis,
     ) -> None:
         """Add the entries of a full list and remove all others."""
-        present = set()
+        listed = list(targets)
+        self._returning_by_id.clear()
+        self._apply_list(listed, {target.id for target in listed}, now_ms)
+
+    def restore(
+        self,
+        targets: typing.Iterable[_model.Target],
+        now_ms: clock.Millis,
+    ) -> list[str]:
+        """Apply the entries of a restored store; return the ids left out.
+
+        An entry that is older than what this node knows of the same life of
+        its target is left out. That of a target which was removed is added
+        only if the store still lists it when removals are trusted again. An
+        entry that is missing may be written again until then.
+        """
+        self._removals_trusted_from_ms = max(
+            self._removals_trusted_from_ms, now_ms + RETURN_GRACE_MS
+        )
+        current, left_out = [], []
+        for target in targets:
+            if self._is_older_than_known(target):
+                left_out.append(target.id)
+            elif self._was_removed(target):
+                left_out.append(target.id)
+                self._returning_by_id[target.id] = target
+            else:
+                current.append(target)
+        self._apply_list(
+            current, {*left_out, *(t.id for t in current)}, now_ms
+        )
+        return left_out
+
+    def _is_older_than_known(self, target: _model.Target) -> bool:
+        entry = self._entry_by_id.get(target.id)
+        return (
+            entry is not None
+            and entry.target.key == target.key
+            and target.sequence < entry.target.sequence
+        )
+
+    def _was_removed(self, target: _model.Target) -> bool:
+        entry = self._removed_by_id.get(target.id)
+        return (
+            target.id not in self._entry_by_id
+            and entry is not None
+            and entry.target.key == target.key
+            and target.sequence <= entry.target.sequence
+        )
+
+    def _apply_list(
+        self,
+        targets: typing.Iterable[_model.Target],
+        present_ids: set[str],
+        now_ms: clock.Millis,
+    ) -> None:
         for target in targets:
-            present.add(target.id)
             self.put(target, now_ms)
-        for target_id in set(self._entry_by_id) - present:
+        for target_id in set(self._entry_by_id) - present_ids:
             self.remove(target_id, now_ms)
         self.complete = True
 
     def expire(self, now_ms: clock.Millis) -> list[str]:
         """Carry out the deferred removals that are due; return their ids."""
-        if (
-            not self._expired_ms_by_id
-            or now_ms < self._removals_trusted_from_ms
-        ):
+        if now_ms < self._removals_trusted_from_ms:
             return []
+        for target in list(self._returning_by_id.values()):
+            self.put(target, now_ms)
         expired_ids = list(self._expired_ms_by_id)
         for target_id in expired_ids:
-            self._entry_by_id.pop(target_id, None)
+            self._forget(target_id, now_ms)
         self._expired_ms_by_id.clear()
         return expired_ids
 
--- a/packages/core/src/quetzalward_core/fleet/_model.py
+++ b/packages/core/src/quetzalward_core/fleet/_model.py
@@ -180,6 +180,8 @@
     domain: str | None = None
     staged_models: tuple[str, ...] = ()
     membership: Membership | None = None
+    # Number of entries that the target has written since its start.
+    sequence: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
--- a/packages/core/tests/fleet/test_fleet.py
+++ b/packages/core/tests/fleet/test_fleet.py
@@ -121,6 +121,64 @@
         self.assertEqual(0, directory.cold_left_ms("a", 9_000))
 
 
+class RestoreTest(unittest.TestCase):
+    """Guards against requests to targets that an older copy lists again."""
+
+    def setUp(self) -> None:
+        """Know two targets from before the restore."""
+        self.directory = fleet.Directory()
+        self.directory.replace(
+            [target("a", sequence=5), target("b", sequence=5)], 0
+        )
+
+    def test_draining_target_stays_draining(self) -> None:
+        """DRAIN holds for what this node has read, whatever the copy says."""
+        self.directory.put(target("a", sequence=6, draining=True), 10)
+        left_out = self.directory.restore(
+            [target("a", sequence=5), target("b", sequence=5)], 20
+        )
+        found = self.directory.get("a")
+        assert found is not None
+        self.assertTrue(found.draining)
+        self.assertEqual(["a"], left_out)
+
+    def test_new_life_of_a_target_is_applied(self) -> None:
+        """Its count of entries begins anew."""
+        self.directory.restore([target("a", born_ms=9, sequence=1)], 20)
+        found = self.directory.get("a")
+        assert found is not None
+        self.assertEqual(9, found.born_ms)
+
+    def test_removed_target_does_not_come_back(self) -> None:
+        """The copy is from before its removal, which is written again."""
+        self.directory.remove("a", 10)
+        self.directory.restore([target("a", sequence=5), target("b")], 20)
+        self.assertIsNone(self.directory.get("a"))
+        self.directory.remove("a", 500)
+        self.directory.expire(20 + fleet.RETURN_GRACE_MS)
+        self.assertIsNone(self.directory.get("a"))
+
+    def test_removed_target_that_stays_listed_returns(self) -> None:
+        """Its entry had lapsed, but the target is alive."""
+        self.directory.remove("a", 10)
+        self.directory.restore([target("a", sequence=5), target("b")], 20)
+        self.directory.expire(20 + fleet.RETURN_GRACE_MS)
+        self.assertIsNotNone(self.directory.get("a"))
+
+    def test_removed_target_that_writes_on_is_back_at_once(self) -> None:
+        """An entry that this node has not seen is no copy."""
+        self.directory.remove("a", 10)
+        self.directory.restore([target("a", sequence=6), target("b")], 20)
+        self.assertIsNotNone(self.directory.get("a"))
+
+    def test_missing_entry_is_kept_for_the_grace(self) -> None:
+        """Targets write again within 2 s of the store's return."""
+        self.directory.restore([target("b", sequence=5)], 20)
+        self.assertIsNotNone(self.directory.get("a"))
+        self.directory.expire(20 + fleet.RETURN_GRACE_MS)
+        self.assertIsNone(self.directory.get("a"))
+
+
 class FreshnessTest(unittest.TestCase):
     """Guards against revoked keys that still work."""
 
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -156,6 +156,9 @@
         election.record_peer_message(now_ms)
         if isinstance(message, coordination.Status):
             if self.is_holder:
+                if message.node not in self._reports.by_node:
+                    # It may have just started, and wait for word.
+                    self._runtime.state.relay_now = True
                 self._reports.record(message, sender, now_ms)
                 self._hear_status(message, sender, now_ms)
             return
@@ -216,6 +219,7 @@
         state, known = self._runtime.state, status.known
         precedence = fleet.Precedence(known.numbering, known.version)
         state.confirmation.hear(precedence, bool(known.is_informed), now_ms)
+        self._operations.confirm_complete()
         has_all_records = (known.era, known.operations_offset) == (
             self._runtime.store.era.number,
             self._operations.offset,
@@ -235,6 +239,7 @@
             return
         precedence = fleet.Precedence(store.numbering, store.version)
         state.confirmation.hear(precedence, store.is_settled, now_ms)
+        self._operations.confirm_complete()
         if (
             store.operations.end == self._operations.offset
             and precedence < state.precedence
--- a/packages/gateway/src/quetzalward_gateway/_follower.py
+++ b/packages/gateway/src/quetzalward_gateway/_follower.py
@@ -130,9 +130,9 @@
             coordination.UNKNOWN_ERA,
             store.era.number,
         )
-        self._apply_snapshot(page, sent_ms, is_restored)
         self._offset = page.end
         self._era = store.era.number
+        self._apply_snapshot(page, sent_ms, is_restored)
         self._relayed_end = -1
         self._buffer.clear()
         self._relied_on_relay = False
--- a/packages/gateway/src/quetzalward_gateway/_operations.py
+++ b/packages/gateway/src/quetzalward_gateway/_operations.py
@@ -44,6 +44,10 @@
         super().__init__(runtime, topic, timing, is_holder)
         # Time, including suspension, at which the topic ended at the offset.
         self._complete_ms: clock.Millis | None = None
+        # Evacuated zones that a restored store lacks, and until when they stay
+        # evacuated unless the operators write again.
+        self._lost_zones: set[str] = set()
+        self._lost_zones_until_ms: clock.Millis = 0
         # The store's configuration while it precedes the one in force.
         self._preceding: _PrecedingConfiguration | None = None
 
@@ -78,34 +82,51 @@
         """
         if self._complete_ms is None or at_ms > self._complete_ms:
             self._complete_ms = at_ms
+        self.confirm_complete()
+
+    def confirm_complete(self) -> None:
+        """Confirm the configuration as of the last read that was relied on.
+
+        Called again when another node has said what it has in force.
+        """
+        at_ms = self._complete_ms
+        if at_ms is None or self.offset < 0:
+            return
         state, now_ms = self._runtime.state, self._runtime.now_ms()
         self._apply_preceding(now_ms)
+        if self._lost_zones and now_ms >= self._lost_zones_until_ms:
+            self._return_zones(self._lost_zones)
+            self._lost_zones = set()
         if state.confirmation.is_settled(state.precedence, now_ms):
             state.freshness.confirm(at_ms)
 
     def _apply_snapshot(
         self, page: _ports.Page, sent_ms: clock.Millis, is_restored: bool
     ) -> None:
-        if is_restored:
-            self._begin_era()
         zones = set()
         for record in page.records:
             change = self._apply_record(record)
             if isinstance(change, _ports.ZoneEvacuation) and change.in_force:
                 zones.add(change.zone)
-        state = self._runtime.state
-        for zone in state.evacuated_zones - zones:
-            self._runtime.log.event("zone_returned", zone=zone)
-        state.evacuated_zones.intersection_update(zones)
+        missing = self._runtime.state.evacuated_zones - zones
+        if is_restored:
+            self._begin_era(missing)
+        else:
+            self._return_zones(missing - self._lost_zones)
         self._confirm(sent_ms)
 
-    def _begin_era(self) -> None:
-        """Wait for word of the other nodes after a restore of the store."""
-        state = self._runtime.state
+    def _begin_era(self, lost_zones: set[str]) -> None:
+        """Keep what the store has lost until operators write again."""
+        state, now_ms = self._runtime.state, self._runtime.now_ms()
+        self._lost_zones = lost_zones
+        self._lost_zones_until_ms = now_ms + fleet.REWRITE_GRACE_MS
         if state.node_count > 1:
-            state.confirmation.begin(
-                self._runtime.now_ms(), fleet.REWRITE_GRACE_MS
-            )
+            state.confirmation.begin(now_ms, fleet.REWRITE_GRACE_MS)
+
+    def _return_zones(self, zones: set[str]) -> None:
+        for zone in zones:
+            self._runtime.state.evacuated_zones.discard(zone)
+            self._runtime.log.event("zone_returned", zone=zone)
 
     def _apply_page(
         self,
@@ -165,6 +186,7 @@
             self._put_in_force(change, record)
             self._note_preceding(change, record)
         elif isinstance(change, _ports.ZoneEvacuation):
+            self._lost_zones.discard(change.zone)
             zones = runtime.state.evacuated_zones
             if change.in_force:
                 zones.add(change.zone)
--- a/packages/gateway/src/quetzalward_gateway/_target_entries.py
+++ b/packages/gateway/src/quetzalward_gateway/_target_entries.py
@@ -107,8 +107,14 @@
             target = runtime.platform.decode_target(record)
             if target is not None:
                 targets.append(target)
-        runtime.state.directory.replace(targets, now_ms)
-        runtime.log.event("targets_read", targets=len(targets))
+        outdated: list[str] = []
+        if is_restored:
+            outdated = runtime.state.directory.restore(targets, now_ms)
+        else:
+            runtime.state.directory.replace(targets, now_ms)
+        runtime.log.event(
+            "targets_read", targets=len(targets), outdated=outdated
+        )
         self._complete_ms = now_ms
 
     def _apply_page(
--- a/packages/gateway/src/quetzalward_gateway/_terms.py
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -86,7 +86,12 @@
             interval_ms = self._read_interval_ms
         if now_ms - self._last_read_ms < interval_ms:
             return
-        if self.is_holder or self.election.should_read_store(now_ms):
+        # A node that starts asks the holder, if there is one, at once.
+        if (
+            self.is_holder
+            or not self._has_considered_restore
+            or self.election.should_read_store(now_ms)
+        ):
             self._last_read_ms = now_ms
             loop = asyncio.get_running_loop()
             self._task = loop.create_task(self._read_or_claim())
@@ -134,9 +139,12 @@
         """
         state, era = self._runtime.state, self._runtime.store.era.number
         gate = state.confirmation
-        if gate.is_informed or self._has_considered_restore:
+        if self._has_considered_restore:
             return
         self._has_considered_restore = True
+        state.send_message_now = True
+        if gate.is_informed:
+            return
         if stored is None:
             gate.settle()
         elif stored.number < coordination.first_number(era):
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -105,8 +105,13 @@
         """Start with an empty store."""
         self.store = KeyedLog()
 
-    def decode_operation(self, record: _ports.Record) -> fleet.Configuration:
+    def decode_operation(
+        self, record: _ports.Record
+    ) -> fleet.Configuration | _ports.ZoneEvacuation:
         """Return a configuration: a version, and API keys behind it."""
+        if record.key.startswith("zone/"):
+            zone = record.key.removeprefix("zone/")
+            return _ports.ZoneEvacuation(zone, record.value is not None)
         words = (record.value or b"0").decode().split() or [""]
         return configuration(int(words[0]), words[1:])
 
--- a/packages/gateway/tests/test_restored_store.py
+++ b/packages/gateway/tests/test_restored_store.py
@@ -271,6 +271,43 @@
         self.assertEqual(3, self.version())
 
 
+class EvacuationTest(RestoreCase):
+    """Guards against requests to a zone whose evacuation the store lost."""
+
+    def setUp(self) -> None:
+        """Evacuate a zone, and restore the store to before that."""
+        super().setUp()
+        self.store.put("zone/z1", "{}")
+        self.read_node()
+        self.store.restore(lost=1)
+        self.read_node()
+
+    def is_evacuated(self) -> bool:
+        """Tell whether the node sends nothing to the zone."""
+        return "z1" in self.node_runtime.state.evacuated_zones
+
+    def test_zone_stays_evacuated_until_operators_write_again(self) -> None:
+        """The operators' acknowledgement is older than the restore."""
+        self.assertTrue(self.is_evacuated())
+        self.store.put("zone/z1", "{}")
+        self.read_node()
+        self.holder_runtime.time.advance(fleet.REWRITE_GRACE_MS)
+        self.read_node()
+        self.assertTrue(self.is_evacuated())
+
+    def test_zone_returns_if_operators_do_not_write_again(self) -> None:
+        """They may have ended the evacuation while the store was away."""
+        self.holder_runtime.time.advance(fleet.REWRITE_GRACE_MS)
+        self.read_node()
+        self.assertFalse(self.is_evacuated())
+
+    def test_end_of_the_evacuation_is_applied_at_once(self) -> None:
+        """What is written in the new era counts."""
+        self.store.remove("zone/z1")
+        self.read_node()
+        self.assertFalse(self.is_evacuated())
+
+
 def routes(configuration: fleet.Configuration) -> str:
     """Return what the fakes keep of a record beside its version."""
     return " ".join(configuration.customer_by_key)
