Write blocked prompts again that a restored store lost

A block that is missing from the store counts as lifted by an operator. After a restore that drops blocks of the last seconds, on all nodes, and prompts under which targets crash are sent again.

After a change of the era no block counts as saved, so that the holder writes those again that the store lacks. A view now sets whether a block is saved. test_block_that_a_restored_store_lost_is_written_again failed before: the holder had no block left.

--- a/packages/core/src/quetzalward_core/quarantine/_quarantine.py
+++ b/packages/core/src/quetzalward_core/quarantine/_quarantine.py
@@ -45,6 +45,11 @@
             return None
         return self._block_by_parts.pop(next(iter(self._block_by_parts)))
 
+    def set_saved(self, parts: frozenset[str], saved: bool) -> None:
+        """Set whether the store has a block that is known."""
+        known = self._block_by_parts[parts]
+        self._block_by_parts[parts] = attrs.evolve(known, saved=saved)
+
     def remove(self, parts: frozenset[str]) -> bool:
         """Remove a block; false if there was none."""
         return self._block_by_parts.pop(parts, None) is not None
--- a/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
@@ -63,6 +63,8 @@
         self._sent_ms: clock.Millis = 0
         self._expired_ms: clock.Millis = 0
         self._suspects: tuple[str, ...] = ()
+        # Era of the store in which it was seen which blocks it has.
+        self._era = coordination.UNKNOWN_ERA
         # Keys of dropped blocks that the store still has.
         self._dropped_keys: list[str] = []
 
@@ -129,6 +131,7 @@
 
     def apply_view(self, view: coordination.QuarantineView) -> None:
         """Apply the holder's suspects and blocks; its term was checked."""
+        self._follow_era()
         state_quarantine = self._quarantine
         state_quarantine.suspects = frozenset(view.suspects)
         listed = {frozenset(row.parts): row.saved for row in view.blocks}
@@ -137,7 +140,8 @@
                 self._remove(block.parts, "the holder no longer lists it")
         known = {block.parts for block in state_quarantine.blocks}
         for parts, saved in listed.items():
-            state_quarantine.add(quarantine.Block(parts, saved))
+            state_quarantine.add(quarantine.Block(parts))
+            state_quarantine.set_saved(parts, saved)
             if parts not in known:
                 self._runtime.log.event("prompt_blocked", parts=sorted(parts))
         self._holder_blocks = frozenset(listed)
@@ -290,6 +294,7 @@
                     "block_unreadable", key=record.key, reason=str(error)
                 )
         stored.discard(frozenset())
+        self._follow_era()
         known = {block.parts: block for block in self._quarantine.blocks}
         for parts in sorted(stored, key=sorted):
             if parts not in known:
@@ -303,6 +308,21 @@
         if set(known) != {b.parts for b in self._quarantine.blocks}:
             self._changed_ms = self._runtime.now_ms()
 
+    def _follow_era(self) -> None:
+        """After a restore of the store, expect no block to be saved.
+
+        The holder writes those again that the store lacks; they were not
+        lifted by an operator.
+        """
+        era = self._runtime.store.era.number
+        if era == self._era:
+            return
+        if self._era != coordination.UNKNOWN_ERA:
+            for block in self._quarantine.blocks:
+                self._quarantine.set_saved(block.parts, False)
+            self._changed_ms = self._runtime.now_ms()
+        self._era = era
+
     def next_write(self) -> tuple[str, bytes] | None:
         """Return key and value of a record to append; no value deletes."""
         if self._dropped_keys:
--- a/packages/gateway/tests/test_quarantine_control.py
+++ b/packages/gateway/tests/test_quarantine_control.py
@@ -184,6 +184,23 @@
         for node in (self.holder, self.first, self.second):
             self.assertEqual(set(), node.blocks)
 
+    def test_block_that_a_restored_store_lost_is_written_again(self) -> None:
+        """Its record is missing, but no operator lifted it."""
+        self.block()
+        write = self.holder.control.next_write()
+        assert write is not None
+        self.holder.runtime.store.era.observe(1, 0, 1)
+        record = _ports.Record(7, *write)
+        self.holder.control.apply_records([record], True)
+        self.exchange(self.holder, self.first, self.second)
+        self.holder.runtime.store.era.observe(2, 2, 3)
+        self.holder.control.apply_records([], True)
+        self.assertEqual({BAD}, self.holder.blocks)
+        self.assertEqual(write[0], (self.holder.control.next_write() or "")[0])
+        self.exchange(self.holder, self.first, self.second)
+        for node in (self.holder, self.first, self.second):
+            self.assertEqual({BAD}, node.blocks)
+
     def test_unreadable_records_are_ignored(self) -> None:
         """A record must not end the process that reads it."""
         for value in (
