Node: refuse to read on a log that lost records

The fold takes offsets as rising for ever. After a restore of the log from a copy it read on at its old offset, beyond records that it had never seen, and counted as fresh. The log's protocol names no era.

After each failed read the last applied record is compared with the log's. If another one holds its offset, the node applies nothing more, becomes isolated and logs that it has to be restarted. A restore without any failed read, of as many records as were lost, is still not seen.

test_log_that_went_back_is_not_read_on failed before: the step succeeded.

--- a/packages/node/src/quetzalward_node/log/_reader.py
+++ b/packages/node/src/quetzalward_node/log/_reader.py
@@ -61,6 +61,11 @@
         self._head_read_ms: clocks.Millis | None = None
         self._assembler = agreement.SnapshotAssembler()
         self._failing = False
+        # The last record that was applied, and whether it must be found in
+        # the log again before the next ones are applied.
+        self._last_record: _client.Record | None = None
+        self._must_verify = False
+        self._lost_record: _client.Record | None = None
 
     def head_age_ms(self) -> clocks.Millis:
         """Return the time since the last read of the head was sent."""
@@ -116,6 +121,7 @@
 
     def _record_failure(self, error: Exception) -> clocks.Millis:
         self.failure_count += 1
+        self._must_verify = True
         if not self._failing:
             self._failing = True
             _LOG.warning(
@@ -142,6 +148,8 @@
 
     def _read(self) -> None:
         start = self.fold.next_offset
+        if self._must_verify:
+            self._verify_last_record()
         sent_ms = self._clock.now_ms()
         page = self._store.read(self.stream, start, READ_LIMIT, READ_WAIT_MS)
         if page.next_offset < start:
@@ -154,11 +162,45 @@
         with self.changed:
             for record in page.records:
                 self._apply(record)
+                self._last_record = record
             self.first_offset = page.first
             if self.fold.next_offset >= page.next_offset:
                 self._head_read_ms = sent_ms
             self._publish_and_notify()
 
+    def _verify_last_record(self) -> None:
+        """Check after a failure that the log did not go back meanwhile.
+
+        A log that was restored from a copy gives its offsets out again. The
+        fold holds records then that were never written, and applies no more:
+        only a restart begins with what the log has now.
+        """
+        last = self._last_record
+        try:
+            if self._lost_record is None and last is not None:
+                page = self._store.read(self.stream, last.offset, 1, 0)
+                if page.next_offset <= last.offset:
+                    raise _client.LogReadError(
+                        f"log ends at offset {page.next_offset}, "
+                        f"already read up to {last.offset + 1}"
+                    )
+                if page.records and page.records[0] != last:
+                    self._lost_record = last
+                    _LOG.error(
+                        "stream {}: the log lost records that were read; "
+                        "this node applies no more until it is restarted",
+                        self.stream,
+                    )
+        except _client.ExpiredError:
+            # The record is too old to be compared.
+            _LOG.info("stream {}: {} has expired", self.stream, last)
+        if self._lost_record is not None:
+            raise _client.LogReadError(
+                f"offset {self._lost_record.offset} no longer holds batch "
+                f"{self._lost_record.batch_id}; the log went back"
+            )
+        self._must_verify = False
+
     def _publish_and_notify(self) -> None:
         if self.publish is not None:
             self.publish(self.fold)
--- a/packages/node/tests/test_log_control.py
+++ b/packages/node/tests/test_log_control.py
@@ -358,6 +358,37 @@
         self.assertEqual(task.reader.head_age_ms(), 100)
         self.assertEqual(task.reader.fold.next_offset, 3)
 
+    def test_log_that_went_back_is_not_read_on(self) -> None:
+        """Guards against a fold of records that were never written."""
+        self.append_zones(3)
+        task = self.manual_stream_task()
+        self.read_until(task, 3)
+        self.log.set_unavailable(True)
+        self.assertGreater(task.reader.step(), 0)
+        # A copy without the last record, and others at its offset.
+        self.log.streams[CONTROL].records.pop()
+        self.append_zones(2, "other#b")
+        self.log.set_unavailable(False)
+        age_ms = task.reader.head_age_ms()
+        for _ in range(3):
+            self.manual_clock.advance(100)
+            self.assertGreater(task.reader.step(), 0)
+        self.assertEqual(3, task.reader.fold.next_offset)
+        self.assertEqual(age_ms + 300, task.reader.head_age_ms())
+
+    def test_log_that_lost_nothing_is_read_on_after_an_outage(self) -> None:
+        """The last record is compared, also one that has expired."""
+        self.append_zones(3)
+        task = self.manual_stream_task()
+        self.read_until(task, 3)
+        for expired in (0, 3):
+            self.log.set_unavailable(True)
+            self.assertGreater(task.reader.step(), 0)
+            self.log.set_unavailable(False)
+            self.log.expire(CONTROL, expired)
+            self.append_zones(1, f"other#{expired}")
+            self.read_until(task, len(self.log.streams[CONTROL].records))
+
     def snapshot(self, parts: int = 3, late: int = 0) -> list[bytes]:
         """Append a snapshot of all records; return its lines.
 
