Soak: the store comes back from older copies

Draws come from a generator of their own, so recorded seeds keep theirs. The stand-in's targets count their entries.

--- a/packages/bench/src/quetzalward_bench/soak/_faults.py
+++ b/packages/bench/src/quetzalward_bench/soak/_faults.py
@@ -15,6 +15,8 @@
 RESTART_DELAY_S = 0.5
 # Share of the steps at which a fault of the answers begins as well.
 ANSWER_FAULT_SHARE = 0.25
+# Share of the steps at which the store comes back from an older copy.
+RESTORE_SHARE = 0.12
 
 _Action = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
@@ -31,6 +33,7 @@
         prompts: _prompts.Prompts,
         rng: random.Random,
         answer_rng: random.Random,
+        restore_rng: random.Random,
     ) -> None:
         """Inject faults into the components of one run."""
         self._prompts = prompts
@@ -39,8 +42,9 @@
         self._targets = targets
         self._operator = operator
         self._rng = rng
-        # A generator of its own keeps the draws of recorded seeds.
+        # Generators of their own keep the draws of recorded seeds.
         self._answer_rng = answer_rng
+        self._restore_rng = restore_rng
         self._tasks: set[asyncio.Task[None]] = set()
         self.history: list[str] = []
         # Until this time, a fault of the store or of a node may delay updates.
@@ -76,6 +80,8 @@
             self._begin(self._rng.choice(actions))
             if self._answer_rng.random() < ANSWER_FAULT_SHARE:
                 self._begin(self._answer_rng.choice(answer_actions))
+            if self._restore_rng.random() < RESTORE_SHARE:
+                self._begin(self.restore_store)
             await asyncio.sleep(self._rng.uniform(0.2, 1.5))
         await asyncio.gather(*self._tasks)
 
@@ -146,6 +152,24 @@
         await asyncio.sleep(self._draw_duration_s())
         self._store.faults.lost_response_share = 0.0
 
+    async def restore_store(self) -> None:
+        """Take the store away and bring it back from an older copy.
+
+        Operators and targets write again a moment later, in either order.
+        """
+        rng = self._restore_rng
+        away_s = rng.choice((0.0, 0.3, 1.5))
+        self._extend_disturbance(away_s + 3.0)
+        self._store.faults.down = True
+        await asyncio.sleep(away_s)
+        self._store.restore(rng.uniform(0.0, 9.0))
+        self._store.faults.down = False
+        writers = [self._operator.write_again, self._targets.write_again]
+        rng.shuffle(writers)
+        for write_again in writers:
+            await asyncio.sleep(rng.uniform(0.0, 0.6))
+            write_again()
+
     async def store_forgets(self) -> None:
         """Compact all topics to the newest record of each key."""
         for topic in list(self._store.topic_by_name):
--- a/packages/bench/src/quetzalward_bench/soak/_run.py
+++ b/packages/bench/src/quetzalward_bench/soak/_run.py
@@ -92,6 +92,7 @@
         prompts,
         rng,
         random.Random(f"{seed}-answers"),
+        random.Random(f"{seed}-restores"),
     )
     tasks = [asyncio.create_task(targets.run())]
     try:
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -94,7 +94,9 @@
         self._rng = rng
         self._server_by_id: dict[str, _http.Server] = {}
         self._port_by_id: dict[str, int] = {}
+        # Entries without their count.
         self._entry_by_id: dict[str, bytes] = {}
+        self._sequence_by_id: dict[str, int] = {}
         self._started_s = time.monotonic()
         for domain in range(domains):
             for host in range(hosts):
@@ -148,7 +150,10 @@
         data = json.dumps(value).encode()
         if self._entry_by_id.get(target_id) != data:
             self._entry_by_id[target_id] = data
-            self.store.put(TARGETS_TOPIC, target_id, data)
+            sequence = self._sequence_by_id.get(target_id, 0) + 1
+            self._sequence_by_id[target_id] = sequence
+            counted = json.dumps({**value, "sequence": sequence})
+            self.store.put(TARGETS_TOPIC, target_id, counted.encode())
             if value["state"] == "draining":
                 self.departure_s_by_id.setdefault(target_id, time.monotonic())
 
@@ -178,7 +183,7 @@
             "slots": entry.slots,
             "state": "draining" if entry.draining else "ready",
             "coldLeftMs": 0,
-            "sequence": 1,
+            "sequence": 0,
             "born": entry.born_ms,
             "domain": entry.domain,
             "staged": list(entry.staged_models),
@@ -195,7 +200,7 @@
             "slots": 6,
             "state": state,
             "coldLeftMs": 0,
-            "sequence": 1,
+            "sequence": 0,
             "born": 1,
         }
 
