Node: reject a response whose head is cut off

Report of other operators: a replica stopped in the middle of its head and closed, and clients got a 200 with an empty body, framed as whole. http.client takes the end of the connection for the empty line behind the headers, so a service's 200 without a length was a complete response.

test_head_that_is_cut_off_is_no_response cuts the head at each byte; before, all lengths behind the status line were accepted.

--- a/packages/node/src/quetzalward_node/callers/_targets.py
+++ b/packages/node/src/quetzalward_node/callers/_targets.py
@@ -100,6 +100,41 @@
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
+class _HeadReader:
+    """Reads the lines of a response's head, which must be complete."""
+
+    def __init__(self, source: typing.Any) -> None:
+        self._source = source
+
+    def readline(self, limit: int) -> bytes:
+        line: bytes = self._source.readline(limit)
+        # A longer line is rejected by `http.client`.
+        if not line.endswith(b"\n") and len(line) < limit:
+            raise http.client.IncompleteRead(line)
+        return line
+
+    def close(self) -> None:
+        self._source.close()
+
+
+class _WholeHeadResponse(http.client.HTTPResponse):
+    """Rejects a head that the end of the connection cuts off.
+
+    `http.client` takes that end for the empty line behind the headers. A 200
+    without a length would then be a complete response with an empty body.
+    """
+
+    def begin(self) -> None:
+        source = self.fp
+        reader = typing.cast(typing.Any, _HeadReader(source))
+        self.fp = reader
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = source
+
+
 class _PushbackReader(io.RawIOBase):
     """Reads bytes that were pushed back, then the rest of the stream."""
 
@@ -305,6 +340,7 @@
         port,
         timeout=CONNECT_TIMEOUT_MS / clocks.MILLIS_PER_SECOND,
     )
+    connection.response_class = _WholeHeadResponse
     try:
         connection.connect()
     except CONNECTION_ERRORS as error:
--- a/packages/node/tests/test_callers_targets.py
+++ b/packages/node/tests/test_callers_targets.py
@@ -141,6 +141,30 @@
             self.connections.release(connection)
         thread.join(callers_fakes.WAIT_S)
 
+    def test_head_that_is_cut_off_is_no_response(self):
+        """Guards against a 200 with an empty body that looks complete."""
+        whole = b"HTTP/1.1 200 OK\r\nX-Seal: 7\r\nContent-Length: 0\r\n\r\n"
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def respond():
+            for length in range(len(whole)):
+                sock, _ = listener.accept()
+                sock.recv(65_536)
+                sock.sendall(whole[:length])
+                sock.close()
+
+        thread = threading.Thread(target=respond, daemon=True)
+        thread.start()
+        port = listener.getsockname()[1]
+        for length in range(len(whole)):
+            connection = self.connections.open(f"http://127.0.0.1:{port}")
+            with self.subTest(length=length):
+                with self.assertRaises(_targets.TargetConnectionError):
+                    connection.send(*GET, 5_000)
+            self.connections.release(connection)
+        thread.join(callers_fakes.WAIT_S)
+
     def test_unreachable_target_raises_not_connected(self):
         with socket.create_server(("127.0.0.1", 0)) as listener:
             port = listener.getsockname()[1]
