Cut a stream at text that is no event

Report of other operators: a stream broke off and clients found an error's text or head in the middle of it. The gateway forwarded whatever ended with an empty line, with or without an id, so text that a target writes into its own body without framing reached the caller, and the stream ended as complete. An error of the next target was not forwarded: its status and head are checked before.

Lines must be fields or comments, and an event without an id after numbered ones is no event.

--- a/packages/gateway/src/quetzalward_gateway/_events.py
+++ b/packages/gateway/src/quetzalward_gateway/_events.py
@@ -1,8 +1,12 @@
 """Parsing and de-duplication of server-sent events (SSE)."""
 
+import re
+
 import attrs
 
 _ID = b"id:"
+# A comment, or a field with its value.
+_LINE = re.compile(rb":|[a-z][a-z0-9-]*:|(?:data|event|id|retry)$")
 # Maximum size of one event. A target in trouble may send bytes without end
 # that never complete an event.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -12,6 +16,10 @@
     """The id of an event is not the successor of the last one."""
 
 
+class NotAnEvent(Exception):
+    """A part of a stream's body is no event, such as an error's text."""
+
+
 class EventTooLarge(Exception):
     """An event is larger than `MAX_EVENT_BYTES`."""
 
@@ -77,8 +85,8 @@
 class EventSequence:
     """Checks event ids over all attempts that serve one stream.
 
-    Integer ids must ascend by one. Events with another id or without an id
-    are always accepted.
+    Integer ids must ascend by one. Events with another id are always
+    accepted, those without an id as long as none had an integer one.
     """
 
     last_id: str | None = None
@@ -87,9 +95,17 @@
         """Return whether to forward an event; false for a duplicate.
 
         Raises `EventGap` if ids between the last event and this one are
-        missing.
+        missing, and `NotAnEvent`.
         """
+        lines = [line for line in event.data.splitlines() if line]
+        if not all(_LINE.match(line) for line in lines):
+            raise NotAnEvent(f"no event: {event.data[:80]!r}")
         if event.id is None:
+            is_comment = all(line.startswith(b":") for line in lines)
+            if not is_comment and (self.last_id or "").isdigit():
+                raise NotAnEvent(
+                    f"no id, but the last event was {self.last_id}"
+                )
             return True
         try:
             number = int(event.id)
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -220,15 +220,14 @@
             if not events:
                 continue
             self._record_event()
-            to_forward = [
-                e.data for e in events if progress.sequence.accept(e)
-            ]
-            if not to_forward:
-                continue
-            if not responder.started:
-                progress.first_event_ms = progress.last_event_ms
-                responder.start_stream(answer.status, answer.forwarded)
-            await responder.send_chunk(b"".join(to_forward))
+            to_forward, error = self._accept(events)
+            if to_forward:
+                if not responder.started:
+                    progress.first_event_ms = progress.last_event_ms
+                    responder.start_stream(answer.status, answer.forwarded)
+                await responder.send_chunk(to_forward)
+            if error is not None:
+                return _Attempt(_Result.BROKEN, str(error))
         if not splitter.is_at_event_boundary:
             return _cut(_Result.BROKEN, "the stream ended within an event")
         if not is_framed and self.first_event_ms is None:
@@ -242,6 +241,23 @@
         responder.finish()
         return _Attempt(_Result.COMPLETE)
 
+    def _accept(
+        self, events: list[_events.Event]
+    ) -> tuple[bytes, _events.NotAnEvent | None]:
+        """Return what to forward, up to the first part that is no event.
+
+        The events before it are forwarded, since the next attempt goes on
+        behind the last one that was accepted.
+        """
+        accepted = []
+        for event in events:
+            try:
+                if self._progress.sequence.accept(event):
+                    accepted.append(event.data)
+            except _events.NotAnEvent as error:
+                return b"".join(accepted), error
+        return b"".join(accepted), None
+
     def _record_event(self) -> None:
         now_ms = self._call.runtime.now_ms()
         progress, load, place = self._progress, self._load, self._place
--- a/packages/gateway/tests/test_stream_attempt.py
+++ b/packages/gateway/tests/test_stream_attempt.py
@@ -124,6 +124,70 @@
                 self.assertEqual(EVENT, call.responder.body)
 
 
+class ForeignTextTest(unittest.TestCase):
+    """Guards against an error's text in the middle of a caller's stream."""
+
+    def run_one(self, body: bytes) -> tuple[_attempts.Attempt, fakes.Call]:
+        """Return what becomes of a stream with a body."""
+        target = hostile_targets.broken_off(head(b"") + body, False)
+        _, result, call = asyncio.run(attempt(target))
+        return result, call
+
+    def test_text_behind_events_is_not_forwarded(self) -> None:
+        """The events before it are, also if they arrive with it."""
+        for text in (
+            b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+            b"http/1.1 503 busy\n\n",
+            b'{"error": "overloaded"}\n\n',
+            b"overloaded\n\n",
+            b"error: overloaded\n\n",
+            b"data: overloaded\n\n",
+        ):
+            with self.subTest(text=text):
+                result, call = self.run_one(EVENT + text)
+                self.assertIs(_attempts.Result.BROKEN, result.result)
+                self.assertEqual(EVENT, call.responder.body)
+                self.assertFalse(call.responder.finished)
+
+    def test_head_in_place_of_the_first_event_is_not_forwarded(self) -> None:
+        """The caller has got nothing yet, so another target may answer."""
+        result, call = self.run_one(b"HTTP/1.1 500 Oops\r\nA: b\r\n\r\n")
+        self.assertIs(_attempts.Result.BROKEN, result.result)
+        self.assertFalse(call.responder.started)
+
+    def test_comments_and_other_fields_are_forwarded(self) -> None:
+        """Targets send weight versions as a field and may send comments."""
+        body = (
+            b"weight-versions: 3\nid: 1\ndata: x\n\n"
+            b": keep-alive\n\n"
+            b"retry: 5\nid: 2\ndata\n\n"
+        )
+        result, call = self.run_one(body)
+        self.assertIs(_attempts.Result.COMPLETE, result.result)
+        self.assertEqual(body, call.responder.body)
+
+
+class CutHeadTest(unittest.TestCase):
+    """Guards against a 200 whose head was cut off and looks complete."""
+
+    def test_head_cut_anywhere_is_a_break(self) -> None:
+        """Before its empty line a head says nothing of its body."""
+        whole = head(b"Content-Length: 0\r\n")
+
+        async def run_all() -> list[tuple[_attempts.Attempt, fakes.Call]]:
+            results = await asyncio.gather(
+                *(
+                    attempt(hostile_targets.broken_off(whole[:length], False))
+                    for length in range(len(whole))
+                )
+            )
+            return [(result, call) for _, result, call in results]
+
+        for result, call in asyncio.run(run_all()):
+            self.assertIs(_attempts.Result.BROKEN, result.result)
+            self.assertFalse(call.responder.started)
+
+
 class RequestsTest(unittest.IsolatedAsyncioTestCase):
     """Guards against callers whose crashes are taken for one request's."""
 
