--- a/packages/bench/src/quetzalward_bench/soak/_callers.py
+++ b/packages/bench/src/quetzalward_bench/soak/_callers.py
@@ -14,6 +14,9 @@
 
 REQUEST_DEADLINE_MS = 6_000
 MEAN_PAUSE_S = 0.06
+# A node whose configuration may be older than this answers 503 instead of 401.
+# It is 2.5 s of age and 2 s to apply a change, with a margin.
+DENIED_AFTER_S = 6.0
 
 
 @attrs.frozen
@@ -140,6 +143,16 @@
         if sent.key not in self._operator.revoked_s_by_key and not is_crashing:
             self._outcomes.recent.append((time.monotonic(), sent.kind, ok))
 
+    def _check_denial(self, sent: SentAttempt) -> None:
+        """Check that a key which is not revoked is accepted in time."""
+        published_s = self._operator.published_s_by_key[sent.key]
+        is_revoked = sent.key in self._operator.revoked_s_by_key
+        if not is_revoked and sent.sent_s > published_s + DENIED_AFTER_S:
+            self._outcomes.violations.append(
+                f"{sent.attempt_id}: key refused "
+                f"{sent.sent_s - published_s:.1f} s after it was published"
+            )
+
     def _check(
         self, sent: SentAttempt, answer: gateway.Response, event_count: int
     ) -> None:
@@ -147,6 +160,8 @@
         self._record(sent, str(answer.status), answer.status == 200)
         if answer.status in (408, 421, 429, 503):
             self._outcomes.not_executed.add(sent.attempt_id)
+        if answer.status == 401:
+            self._check_denial(sent)
         if answer.status != 200:
             return
         expected = f"ran {sent.attempt_id}".encode()
--- a/packages/standins/src/quetzalward_standins/platform/_operator.py
+++ b/packages/standins/src/quetzalward_standins/platform/_operator.py
@@ -1,5 +1,6 @@
 """Stand-in of the operators, who write configurations to the store."""
 
+import itertools
 import json
 import time
 import typing
@@ -22,12 +23,16 @@
         self.keys = {"north": ["key-north"], "south": ["key-south"]}
         # Time of revocation (monotonic clock).
         self.revoked_s_by_key: dict[str, float] = {}
+        # Time of the first publication (monotonic clock).
+        self.published_s_by_key: dict[str, float] = {}
         self.evacuated_zones: set[str] = set()
 
     def publish(self) -> None:
         """Publish the next version of the configuration."""
         self.version += 3
         self._write_configuration()
+        for key in itertools.chain(*self.keys.values()):
+            self.published_s_by_key.setdefault(key, time.monotonic())
 
     def _write_configuration(self) -> None:
         self._store.put(
