Wake a node whose reads fail at a new era only, and answer starters first

A view with a gap comes each 200 ms; a node that is cut off from the store would have called it as often. Statuses make the coordinator relay at once only if the node has just started and waits for word.

--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -156,8 +156,8 @@
         election.record_peer_message(now_ms)
         if isinstance(message, coordination.Status):
             if self.is_holder:
-                if message.node not in self._reports.by_node:
-                    # It may have just started, and wait for word.
+                if not message.known.is_informed:
+                    # It has just started and waits for word.
                     self._runtime.state.relay_now = True
                 self._reports.record(message, sender, now_ms)
                 self._hear_status(message, sender, now_ms)
--- a/packages/gateway/src/quetzalward_gateway/_follower.py
+++ b/packages/gateway/src/quetzalward_gateway/_follower.py
@@ -18,6 +18,17 @@
 MAX_RETRY_MS = 2_000
 
 
+async def _wait(event: asyncio.Event, timeout_ms: clock.Millis) -> None:
+    """Wait until an event is set from now on, at most for a time."""
+    event.clear()
+    try:
+        async with asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND):
+            await event.wait()
+    except TimeoutError:
+        # Nothing happened; the caller goes on as after a pause.
+        return
+
+
 class Follower:
     """Follows one keyed topic; recovers from lost history and connections.
 
@@ -36,7 +47,10 @@
         self._runtime = runtime
         self._timing = timing
         self._is_holder = is_holder
+        # Set when a relay shows that this node lacks records, and when one
+        # names a later era.
         self._relay_gap = asyncio.Event()
+        self._era_announced = asyncio.Event()
         self._topic = topic
         self._offset: int | None = None
         # Era of the store in which the offset was given out.
@@ -69,8 +83,8 @@
         """Follow the topic until cancelled."""
         while True:
             if self._is_relay_current():
-                await self._wait_for_relay(
-                    coordination.RELAY_CHECK_INTERVAL_MS
+                await _wait(
+                    self._relay_gap, coordination.RELAY_CHECK_INTERVAL_MS
                 )
                 if self._announced_era is not None:
                     await self._wait_for_turn()
@@ -159,7 +173,10 @@
         max_pause_ms = (
             HOLDER_MAX_RETRY_MS if self._is_holder() else MAX_RETRY_MS
         )
-        await self._wait_for_relay(self._backoff.record_failure(max_pause_ms))
+        # A new era says that the store is back.
+        await _wait(
+            self._era_announced, self._backoff.record_failure(max_pause_ms)
+        )
 
     def _record_success(self) -> None:
         if self._failing_since_ms is not None:
@@ -199,6 +216,8 @@
         if era != self._era:
             # Offsets of two eras are not comparable.
             if era > self._era and era != self._refuted_era:
+                if self._announced_era != era:
+                    self._era_announced.set()
                 self._announced_era = era
                 self._relay_gap.set()
             return
@@ -253,16 +272,6 @@
             and self._relayed_end <= self.offset
         )
 
-    async def _wait_for_relay(self, wait_ms: clock.Millis) -> None:
-        """Wait, at most until a relay shows that this node lacks records."""
-        self._relay_gap.clear()
-        try:
-            async with asyncio.timeout(wait_ms / clock.MILLIS_PER_SECOND):
-                await self._relay_gap.wait()
-        except TimeoutError:
-            # No records are missing; the caller checks the age again.
-            return
-
     async def _wait_for_turn(self) -> None:
         """Wait for a random time, since all nodes read after a restore."""
         delay_ms = self._runtime.state.random_delay_ms(
