--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -8,6 +8,7 @@
 from quetzalward_core import clock
 from quetzalward_core import coordination
 from quetzalward_core import fleet
+from quetzalward_gateway import _configuration_exchange
 from quetzalward_gateway import _group_control
 from quetzalward_gateway import _limit_control
 from quetzalward_gateway import _node_reports
@@ -24,10 +25,6 @@
 # Time for which a new holder writes to all nodes that it knows of. After that
 # it writes to those that sent it a status.
 ANNOUNCE_MS = 3_000
-# Largest copy of a configuration, after compression, that fits a datagram.
-MAX_COPY_BYTES = 60_000
-# Nodes, on average, that send the holder a copy in answer to one message.
-COPY_SENDERS = 3
 
 # Peer and term of a clock, which restarts with its process.
 _ClockKey = tuple[str, int]
@@ -63,7 +60,6 @@
         self._targets = targets
         self._runtime = runtime
         self._settings = settings
-        self._rng = random.Random(f"{settings.node}-copies")
         self._quarantine = _quarantine_control.QuarantineControl(
             runtime, settings.node
         )
@@ -72,6 +68,9 @@
         )
         self._terms = _terms.TermKeeper(runtime, settings, self._quarantine)
         self._socket = _peers.PeerSocket(self._handle_message, runtime.log)
+        self._exchange = _configuration_exchange.ConfigurationExchange(
+            runtime, settings.node, operations, self._socket.send
+        )
         self._reports = _node_reports.NodeReports()
         self._groups = _group_control.GroupControl(
             runtime, settings, self._reports
@@ -160,7 +159,7 @@
                     # It has just started and waits for word.
                     self._runtime.state.relay_now = True
                 self._reports.record(message, sender, now_ms)
-                self._hear_status(message, sender, now_ms)
+                self._exchange.compare_status(message, sender, now_ms)
             return
         if isinstance(message, coordination.ConfigurationCopy):
             self._operations.apply_copy(message)
@@ -200,77 +199,13 @@
             store.operations.age_ms if store else None, now_ms
         )
         if store is not None:
-            self._hear_holder(store, sender, now_ms)
+            self._exchange.compare_view(store, sender, now_ms)
             self._operations.apply_relayed_view(
                 store.operations, store.era, sent_ms
             )
             self._targets.set_relayed_deferral(store.removal_deferral_ms)
             self._targets.apply_relayed_view(store.targets, store.era, sent_ms)
 
-    # What other nodes have in force.
-
-    def _hear_status(
-        self,
-        status: coordination.Status,
-        sender: fleet.Address,
-        now_ms: clock.Millis,
-    ) -> None:
-        """As the holder, compare a node's configuration with this one's."""
-        state, known = self._runtime.state, status.known
-        precedence = fleet.Precedence(known.numbering, known.version)
-        state.confirmation.hear(precedence, bool(known.is_informed), now_ms)
-        self._operations.confirm_complete()
-        has_all_records = (known.era, known.operations_offset) == (
-            self._runtime.store.era.number,
-            self._operations.offset,
-        )
-        if has_all_records and precedence < state.precedence:
-            self._send_copy(sender)
-
-    def _hear_holder(
-        self,
-        store: coordination.StoreView,
-        holder: fleet.Address,
-        now_ms: clock.Millis,
-    ) -> None:
-        """Compare the holder's configuration with this node's."""
-        state = self._runtime.state
-        if store.era != self._runtime.store.era.number:
-            return
-        precedence = fleet.Precedence(store.numbering, store.version)
-        state.confirmation.hear(precedence, store.is_settled, now_ms)
-        self._operations.confirm_complete()
-        if (
-            store.operations.end == self._operations.offset
-            and precedence < state.precedence
-            and self._rng.random() * state.node_count < COPY_SENDERS
-        ):
-            self._send_copy(holder)
-
-    def _send_copy(self, recipient: fleet.Address) -> None:
-        """Send the configuration in force to a node that lacks it."""
-        state = self._runtime.state
-        record = state.configuration_record
-        if record is None or record.value is None:
-            return
-        data = coordination.encode(
-            coordination.ConfigurationCopy(
-                self._settings.node,
-                state.precedence.numbering,
-                state.precedence.version,
-                record.key,
-                record.value.decode("utf-8", "replace"),
-            )
-        )
-        if len(data) > MAX_COPY_BYTES:
-            self._runtime.log.event(
-                "configuration_too_large_to_send",
-                version=state.precedence.version,
-                bytes=len(data),
-            )
-            return
-        self._socket.send(data, recipient)
-
     def _apply_from_holder(
         self,
         message: (
