--- a/packages/gateway/src/quetzalward_gateway/_follower.py
+++ b/packages/gateway/src/quetzalward_gateway/_follower.py
@@ -218,6 +218,7 @@
             if era > self._era and era != self._refuted_era:
                 if self._announced_era != era:
                     self._era_announced.set()
+                    self._runtime.store.interrupt_reads()
                 self._announced_era = era
                 self._relay_gap.set()
             return
--- a/packages/gateway/src/quetzalward_gateway/_watched_store.py
+++ b/packages/gateway/src/quetzalward_gateway/_watched_store.py
@@ -1,5 +1,6 @@
 """The platform's store, with the era of all its answers observed."""
 
+import asyncio
 import collections.abc
 import typing
 
@@ -29,6 +30,7 @@
         self._log = log
         self._boot_ms = boot_ms
         self._is_era_named = True
+        self._waiting_reads: set[asyncio.Future[_ports.Page]] = set()
 
     async def newest(self, topic: str) -> _ports.Page:
         """Return the newest record of every key; raises as `KeyedLog`."""
@@ -43,12 +45,32 @@
         the offset may be another record's now.
         """
         era = self.era.number
-        page = await self._observed(self._store.read(topic, offset, wait_ms))
-        if self.era.number != era:
+        call = asyncio.ensure_future(
+            self._observed(self._store.read(topic, offset, wait_ms))
+        )
+        self._waiting_reads.add(call)
+        try:
+            await asyncio.wait({call})
+        finally:
+            self._waiting_reads.discard(call)
+            call.cancel()
+        if call.cancelled() or self.era.number != era:
             raise _ports.HistoryLost(
-                f"{topic}: the store was restored, in era {self.era.number}"
+                f"{topic}: the store was restored since the read began"
             )
-        return page
+        return call.result()
+
+    def interrupt_reads(self) -> None:
+        """End the reads that wait, since the store was restored.
+
+        They wait for a change behind an offset of the era before.
+        """
+        if not self._waiting_reads:
+            return
+        current = asyncio.current_task()
+        for call in self._waiting_reads:
+            if call is not current:
+                call.cancel()
 
     async def append(
         self, topic: str, key: str, value: bytes, at: int
@@ -85,5 +107,6 @@
             return
         if change is coordination.EraChange.RESTORED:
             self._log.event("store_restored", era=era, previous=previous)
+            self.interrupt_reads()
         else:
             self._log.event("store_era", era=era)
--- a/packages/gateway/tests/test_restored_store.py
+++ b/packages/gateway/tests/test_restored_store.py
@@ -152,6 +152,27 @@
         self.assertEqual((1, 4), (self.node._era, self.version()))
         self.assertIn("store_era_unreadable", self.node_runtime.log.names)
 
+    def test_read_that_waits_ends_when_a_restore_is_known(self) -> None:
+        """It waited 2.5 s for a change behind an offset of the era before."""
+        store = self.node_runtime.store
+        read = self.store.read
+
+        async def wait(*args: typing.Any) -> _ports.Page:
+            await asyncio.sleep(30)
+            return await read(*args)
+
+        async def restore_meanwhile() -> None:
+            self.store.read = wait  # type: ignore[method-assign]
+            waiting = asyncio.create_task(self.node._read_once())
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.store.restore(lost=1)
+            await store.newest("targets")
+            with self.assertRaises(_ports.HistoryLost):
+                await asyncio.wait_for(waiting, 5)
+
+        asyncio.run(restore_meanwhile())
+
     def test_era_that_falls_is_followed(self) -> None:
         """A store that was set up anew may count its eras anew."""
         self.store.restore(lost=0)
