Number versions that begin anew above the numbering before, in any era

The era alone could be lower than that of an earlier restart of the versions, if the store's eras had begun anew, and the configuration would not come into force.

--- a/packages/gateway/src/quetzalward_gateway/_operations.py
+++ b/packages/gateway/src/quetzalward_gateway/_operations.py
@@ -157,11 +157,11 @@
             version=found.configuration.version,
             after_ms=now_ms - found.since_ms,
         )
-        self._put_in_force(
-            found.configuration,
-            found.record,
+        numbering = max(
             self._runtime.store.era.number,
+            self._runtime.state.precedence.numbering + 1,
         )
+        self._put_in_force(found.configuration, found.record, numbering)
 
     def apply_copy(self, copy: coordination.ConfigurationCopy) -> None:
         """Apply the configuration of another node, if it is a later one."""
