--- a/packages/gateway/src/quetzalward_gateway/_operations.py
+++ b/packages/gateway/src/quetzalward_gateway/_operations.py
@@ -207,6 +207,7 @@
             configuration.version < state.precedence.version
             and self._runtime.store.era.number > state.configuration_era
         )
+        state.is_store_behind = is_preceding
         if not is_preceding:
             self._preceding = None
             return
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -72,6 +72,8 @@
         self.configuration_record: _ports.Record | None = None
         self.configuration_era = coordination.UNKNOWN_ERA
         self.confirmation = fleet.ConfirmationGate()
+        # Whether the store was restored and has an older configuration.
+        self.is_store_behind = False
         self._routes = fleet.RouteTable(())
         self.evacuated_zones: set[str] = set()
         self.directory = fleet.Directory()
--- a/packages/gateway/src/quetzalward_gateway/_terms.py
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -65,6 +65,8 @@
         self._backoff = coordination.Backoff(
             STORE_RETRY_MS, STORE_RETRY_FACTOR
         )
+        # Era in which the stored term was written, as its record says.
+        self._stored_era = coordination.UNKNOWN_ERA
         self._task: asyncio.Task[None] | None = None
         self._has_considered_restore = False
 
@@ -117,7 +119,10 @@
                 return
             era = runtime.store.era.number
             number = self.election.next_number(era, page.end)
-            await self._append_term(number, page.end)
+            was_complete = term is None or self._stored_era == era
+            await self._append_term(
+                number, page.end, era if was_complete else era - 1
+            )
             if runtime.store.era.number != era:
                 # The store was restored meanwhile: in the next era the same
                 # number may be another node's.
@@ -129,13 +134,18 @@
                 STORE_MAX_RETRY_MS
             )
             return
+        if was_complete:
+            # An earlier holder has seen all records in this era. If all nodes
+            # have started at once, there is nobody to wait for.
+            runtime.state.confirmation.settle()
         self._begin(number)
 
     def _consider_restore(self, stored: coordination.Term | None) -> None:
         """Tell a node that has started whether a restore may be recent.
 
-        A term of an earlier era is from before a restore, which may have
-        been just now. Without any term, no node has run before.
+        A term that was written in an earlier era is from before a restore,
+        which may have been just now. Without any term, no node has run
+        before.
         """
         state, era = self._runtime.state, self._runtime.store.era.number
         gate = state.confirmation
@@ -147,21 +157,36 @@
             return
         if stored is None:
             gate.settle()
-        elif stored.number < coordination.first_number(era):
+        elif self._stored_era != era:
             gate.begin(self._runtime.now_ms(), fleet.REWRITE_GRACE_MS)
 
-    async def _append_term(self, number: int, end: int) -> None:
-        """Append the record of a term of this node."""
+    async def _append_term(self, number: int, end: int, era: int) -> None:
+        """Append the record of a term of this node.
+
+        `era` is the latest one in which a holder has seen all records.
+        """
         value = {
             "node": self._settings.node,
             "address": str(self._settings.peers),
             "number": number,
+            "era": era,
         }
         topic = self._runtime.platform.election_topic
         await self._runtime.store.append(
             topic, _TERM_KEY, json.dumps(value).encode(), end
         )
 
+    def _completed_era(self) -> int:
+        """Return the latest era in which this node has seen all records.
+
+        It is an earlier one until operators have written again after a
+        restore, so that nodes which start then know of it.
+        """
+        state, era = self._runtime.state, self._runtime.store.era.number
+        if state.confirmation.is_informed and not state.is_store_behind:
+            return era
+        return era - 1
+
     async def _write_again(
         self, stored: coordination.Term | None, end: int
     ) -> None:
@@ -171,11 +196,13 @@
         """
         if not self.is_holder:
             return
-        if stored is None or (stored.number, stored.node) != (
-            self.number,
-            self._settings.node,
+        era = self._completed_era()
+        own = (self.number, self._settings.node, era)
+        if (
+            stored is None
+            or (stored.number, stored.node, self._stored_era) != own
         ):
-            await self._append_term(self.number, end)
+            await self._append_term(self.number, end, era)
             self._runtime.log.event("duty_written_again", term=self.number)
             return
         write = self._quarantine.next_write()
@@ -193,6 +220,9 @@
                 continue
             try:
                 value = json.loads(record.value)
+                self._stored_era = int(
+                    value.get("era", coordination.UNKNOWN_ERA)
+                )
                 return coordination.Term(
                     # Records of earlier versions have no number.
                     int(value.get("number", record.offset + 1)),
--- a/packages/gateway/tests/test_terms.py
+++ b/packages/gateway/tests/test_terms.py
@@ -7,6 +7,7 @@
 import attrs
 import fakes
 
+from quetzalward_core import fleet
 from quetzalward_gateway import _quarantine_control
 from quetzalward_gateway import _terms
 
@@ -67,6 +68,23 @@
         assert term is not None
         self.assertEqual((number, "a"), (term.number, term.node))
 
+    def test_nodes_that_all_start_wait_only_behind_a_restore(self) -> None:
+        """Nothing is served while they wait for word of others."""
+        self.check(self.first)
+        for lost, is_settled in ((None, True), (0, False)):
+            if lost is not None:
+                self.store.restore(lost)
+            runtime = fakes.Runtime(self.time, self.first_runtime.platform)
+            gate = runtime.state.confirmation
+            gate.begin(self.time.now_ms() + 5_000, 1_000)
+            starter = self.keeper(runtime, "a")
+            self.check(starter)
+            self.assertTrue(starter.is_holder)
+            self.assertEqual(
+                is_settled,
+                gate.is_settled(fleet.Precedence(), self.time.now_ms()),
+            )
+
     def test_claim_during_a_restore_begins_no_term(self) -> None:
         """Its number may be that of another node in the next era."""
         append = self.store.append
