--- a/packages/gateway/src/quetzalward_gateway/_terms.py
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -65,7 +65,8 @@
         self._backoff = coordination.Backoff(
             STORE_RETRY_MS, STORE_RETRY_FACTOR
         )
-        # Era in which the stored term was written, as its record says.
+        # Latest era of the store in which a holder has seen all records, as
+        # the record of the stored term says.
         self._stored_era = coordination.UNKNOWN_ERA
         self._task: asyncio.Task[None] | None = None
         self._has_considered_restore = False
@@ -143,8 +144,8 @@
     def _consider_restore(self, stored: coordination.Term | None) -> None:
         """Tell a node that has started whether a restore may be recent.
 
-        A term that was written in an earlier era is from before a restore,
-        which may have been just now. Without any term, no node has run
+        If no holder has seen all records in the present era, the store was
+        restored since, perhaps just now. Without any term, no node has run
         before.
         """
         state, era = self._runtime.state, self._runtime.store.era.number
--- a/packages/gateway/src/quetzalward_gateway/_watched_store.py
+++ b/packages/gateway/src/quetzalward_gateway/_watched_store.py
@@ -54,10 +54,12 @@
         finally:
             self._waiting_reads.discard(call)
             call.cancel()
+        # Retrieved in any case; asyncio reports an exception that is not.
+        failure = None if call.cancelled() else call.exception()
         if call.cancelled() or self.era.number != era:
             raise _ports.HistoryLost(
                 f"{topic}: the store was restored since the read began"
-            )
+            ) from failure
         return call.result()
 
     def interrupt_reads(self) -> None:
