--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -197,7 +197,7 @@
 
     def __init__(self) -> None:
         """Start without a response."""
-        self.started = self.finished = False
+        self.started = self.finished = self.aborted = False
         self.status: int | None = None
         self.body = b""
 
@@ -221,6 +221,10 @@
         """Record that the response is complete."""
         self.finished = True
 
+    def abort(self) -> None:
+        """Record that the response was broken off."""
+        self.aborted = True
+
 
 class Call:
     """Replaces `_runtime.Call` for a stream whose prompt has one part."""
