Keep a slow target's connection until another one has answered

Callers got 502 for a repeatable request whose target stood still for over 250 ms, when no other target, permit or retry was left, or when the other target failed, although the first one would have answered. Cause: a target that exceeded its threshold for slow responses was given up, before it was known whether another one could answer. Now the threshold only begins another attempt beside the first, and the first answer counts; an error waits for the attempts that still run. test_silent_targets.SilentPlainTargetTest: three tests failed before, none now.

--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -1,5 +1,7 @@
 """Buffered requests to services without engines, retried where allowed."""
 
+import asyncio
+
 import attrs
 
 from quetzalward_core import clock
@@ -16,11 +18,11 @@
 # Limit of attempts that the target did not execute; they do not count towards
 # the maximum of the route.
 MAX_UNEXECUTED_ATTEMPTS = 3
-# A repeatable request is sent to another target if the first has not responded
-# within this multiple of its usual latency.
+# A repeatable request is sent to another target as well if the first has not
+# responded within this multiple of its usual latency.
 SLOW_LATENCY_FACTOR = 5.0
-# Lower limit for that time: a shorter one would also abandon ordinary long
-# responses.
+# Lower limit for that time: with a shorter one, ordinary long responses would
+# be asked for twice.
 MIN_SLOW_THRESHOLD_MS = 250.0
 # No attempt is made with less time left, as a target could not use it.
 MIN_REMAINING_MS = 5
@@ -33,89 +35,179 @@
 
 async def run(call: _runtime.Call) -> None:
     """Forward a request to targets and their response to the caller."""
-    runtime = call.runtime
-    tried: set[str] = set()
-    executed_attempts = unexecuted_attempts = 0
-    error_attempt: _Attempt | None = None
-    refusal: placing.Refusal | None = None
-    last = _Attempt(_Result.NOT_RUN, "no target is available")
-    pool = _admission.pool_of(call.service)
-    call.record_first_send(pool)
-
-    def choose() -> fleet.Target | placing.Refusal:
-        return runtime.state.place_plain(call.service, tried, runtime.now_ms())
-
-    while call.remaining_ms() > MIN_REMAINING_MS:
-        target = await _permit_wait.place(call, pool, choose)
-        if isinstance(target, placing.Refusal):
-            refusal = runtime.state.final_refusal(
-                target, pool, runtime.now_ms()
-            )
-            break
-        tried.add(target.id)
-        if (
-            executed_attempts or unexecuted_attempts
-        ) and not call.try_spend_retry():
-            last = attrs.evolve(last, reason="the retry budget is exhausted")
-            break
-        last = await _attempt(call, target, executed_attempts)
-        if last.result is _Result.UNREACHABLE:
-            continue
-        if last.result is _Result.NOT_RUN:
-            unexecuted_attempts += 1
-            if unexecuted_attempts >= MAX_UNEXECUTED_ATTEMPTS:
+    exchange = PlainExchange(call)
+    try:
+        await exchange.run()
+    finally:
+        exchange.cancel()
+
+
+class PlainExchange:
+    """Serves one request, by several targets at once if one is slow.
+
+    A target that has not answered for a while may only be slow, so its
+    connection is kept until another one has answered.
+    """
+
+    def __init__(self, call: _runtime.Call) -> None:
+        """Take an admitted call; nothing is sent yet."""
+        self._call = call
+        self._state = call.runtime.state
+        self._pool = _admission.pool_of(call.service)
+        self._tried: set[str] = set()
+        self._target_by_task: dict[asyncio.Task[_Attempt], fleet.Target] = {}
+        self._executed_attempts = 0
+        self._unexecuted_attempts = 0
+        # Why no target was left for another attempt.
+        self._refusal: placing.Refusal | None = None
+        self._is_exhausted = False
+        self._error: _Attempt | None = None
+        self._last = _Attempt(_Result.NOT_RUN, "no target is available")
+
+    async def run(self) -> None:
+        """Serve the request until it is answered or refused."""
+        self._call.record_first_send(self._pool)
+        while True:
+            slow_threshold_ms = None
+            if self._may_start():
+                target = await self._choose()
+                if target is not None:
+                    self._start(target)
+                    slow_threshold_ms = self._slow_threshold_ms(target)
+            if not self._target_by_task:
                 break
-            continue
-        executed_attempts += 1
-        if last.result is _Result.ANSWERED:
-            if not _is_worth_repeating(call, last, executed_attempts):
-                _forward(call, last)
+            ended = await self._next_end(slow_threshold_ms)
+            if ended is None:
+                self._record_slow()
+            elif self._process(ended):
                 return
-            error_attempt = last
+        if self._error is not None:
+            _forward(self._call, self._error)
+        else:
+            self._call.refuse(self._refused())
+
+    def cancel(self) -> None:
+        """Close the connections to targets that have not answered."""
+        for task in self._target_by_task:
+            task.cancel()
+
+    def _may_start(self) -> bool:
+        """Tell whether another attempt may begin now."""
         if (
-            not call.route.repeatable
-            or executed_attempts >= call.route.max_attempts
+            self._is_exhausted
+            or self._call.remaining_ms() <= MIN_REMAINING_MS
+            or self._unexecuted_attempts >= MAX_UNEXECUTED_ATTEMPTS
         ):
-            break
-    if error_attempt is not None:
-        _forward(call, error_attempt)
-    else:
-        call.refuse(_refusal_for(call, last, executed_attempts, refusal))
-
-
-def _is_worth_repeating(
-    call: _runtime.Call, attempt: _Attempt, executed_attempts: int
-) -> bool:
-    """Tell whether to send a request that got a 5xx to another target."""
-    assert attempt.head is not None
-    return (
-        attempt.head.status >= 500
-        and call.route.repeatable
-        and executed_attempts < call.route.max_attempts
-    )
+            return False
+        executions = self._executed_attempts + len(self._target_by_task)
+        if not self._call.route.repeatable:
+            return not executions
+        return executions < self._call.route.max_attempts
 
+    async def _choose(self) -> fleet.Target | None:
+        """Return the target of the next attempt; `None` ends the search."""
+        runtime = self._call.runtime
 
-def _refusal_for(
-    call: _runtime.Call,
-    last: _Attempt,
-    executed_attempts: int,
-    refusal: placing.Refusal | None,
-) -> _runtime.Refused:
-    """Return the refusal that matches the failure of the last attempt.
+        def choose() -> fleet.Target | placing.Refusal:
+            return self._state.place_plain(
+                self._call.service, self._tried, runtime.now_ms()
+            )
 
-    `refusal` says why there was no target for another one.
-    """
-    if not executed_attempts and refusal is not None:
-        return _runtime.Refused(
-            errors.ErrorKind.NO_TARGET, refusal.reason, refusal.retry_after_ms
+        target = await _permit_wait.place(self._call, self._pool, choose)
+        if isinstance(target, placing.Refusal):
+            self._is_exhausted = True
+            self._refusal = self._state.final_refusal(
+                target, self._pool, runtime.now_ms()
+            )
+            return None
+        is_repeat = (
+            self._executed_attempts
+            or self._unexecuted_attempts
+            or self._target_by_task
+        )
+        if is_repeat and not self._call.try_spend_retry():
+            self._is_exhausted = True
+            self._last = attrs.evolve(
+                self._last, reason="the retry budget is exhausted"
+            )
+            return None
+        return target
+
+    def _start(self, target: fleet.Target) -> None:
+        self._tried.add(target.id)
+        # Counted before the connection is opened, so that the placement of
+        # concurrent requests takes it into account.
+        runtime = self._call.runtime
+        if self._state.admission.record_request(target, runtime.now_ms()):
+            runtime.metrics.count("permits_used")
+        task = asyncio.get_running_loop().create_task(
+            _attempt(self._call, target)
+        )
+        self._target_by_task[task] = target
+
+    def _slow_threshold_ms(self, target: fleet.Target) -> float | None:
+        """Return the time after which to ask another target as well."""
+        if not self._may_start():
+            return None
+        usual_latency_ms = self._state.outcomes.latency_ms(target.id)
+        return max(
+            MIN_SLOW_THRESHOLD_MS, SLOW_LATENCY_FACTOR * usual_latency_ms
         )
-    if not executed_attempts:
-        return _runtime.Refused(
-            errors.ErrorKind.NO_TARGET, last.reason, RETRY_AFTER_MS
+
+    async def _next_end(self, timeout_ms: float | None) -> _Attempt | None:
+        """Return an attempt that has ended; `None` on a time-out."""
+        timeout_s = None
+        if timeout_ms is not None:
+            timeout_s = timeout_ms / clock.MILLIS_PER_SECOND
+        done, _ = await asyncio.wait(
+            self._target_by_task,
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
         )
-    if call.remaining_ms() <= MIN_REMAINING_MS:
-        return _runtime.Refused(errors.ErrorKind.TARGET_TIMEOUT, last.reason)
-    return _runtime.Refused(errors.ErrorKind.TARGET_FAILED, last.reason)
+        for task in done:
+            del self._target_by_task[task]
+            return task.result()
+        return None
+
+    def _record_slow(self) -> None:
+        """Record that the targets asked so far have not answered in time."""
+        for target in self._target_by_task.values():
+            now_ms = self._call.runtime.now_ms()
+            self._state.observe_outcome(target.id, False, 0.0, now_ms)
+            self._call.log_event("target_slow", target=target.id)
+
+    def _process(self, attempt: _Attempt) -> bool:
+        """Process the end of an attempt; true if the caller got its answer."""
+        self._last = attempt
+        if attempt.result is _Result.UNREACHABLE:
+            return False
+        if attempt.result is _Result.NOT_RUN:
+            self._unexecuted_attempts += 1
+            return False
+        self._executed_attempts += 1
+        if attempt.result is not _Result.ANSWERED:
+            return False
+        assert attempt.head is not None
+        is_error = attempt.head.status >= 500
+        if is_error and (self._target_by_task or self._may_start()):
+            self._error = attempt
+            return False
+        _forward(self._call, attempt)
+        return True
+
+    def _refused(self) -> _runtime.Refused:
+        """Return the refusal that matches the failure of the last attempt."""
+        last, kind = self._last, errors.ErrorKind.NO_TARGET
+        if not self._executed_attempts and self._refusal is not None:
+            return _runtime.Refused(
+                kind, self._refusal.reason, self._refusal.retry_after_ms
+            )
+        if not self._executed_attempts:
+            return _runtime.Refused(kind, last.reason, RETRY_AFTER_MS)
+        kind = errors.ErrorKind.TARGET_FAILED
+        if self._call.remaining_ms() <= MIN_REMAINING_MS:
+            kind = errors.ErrorKind.TARGET_TIMEOUT
+        return _runtime.Refused(kind, last.reason)
 
 
 def _forward(call: _runtime.Call, attempt: _Attempt) -> None:
@@ -129,15 +221,11 @@
     call.responder.send_response(head.status, head.forwarded, attempt.body)
 
 
-async def _attempt(
-    call: _runtime.Call, target: fleet.Target, executed_attempts: int
-) -> _Attempt:
+async def _attempt(call: _runtime.Call, target: fleet.Target) -> _Attempt:
     """Send the request to one target."""
     runtime = call.runtime
     outcomes = runtime.state.outcomes
     started_ms = runtime.now_ms()
-    if runtime.state.admission.record_request(target, started_ms):
-        runtime.metrics.count("permits_used")
     try:
         channel = await _channel.connect(
             target.address,
@@ -149,7 +237,7 @@
         return _Attempt(_Result.UNREACHABLE, "connection to the target failed")
     outcomes.started(target.id)
     try:
-        attempt = await _exchange(call, target, channel, executed_attempts)
+        attempt = await _exchange(call, target, channel)
     finally:
         outcomes.ended(target.id)
         channel.abort()
@@ -175,7 +263,6 @@
     call: _runtime.Call,
     target: fleet.Target,
     channel: _channel.Channel,
-    executed_attempts: int,
 ) -> _Attempt:
     http = _http.ClientCall(channel)
     request = call.request
@@ -186,20 +273,17 @@
         call.target_headers(target, None),
         call.raw.body,
     )
-    attempt_deadline_ms = _attempt_deadline_ms(call, target, executed_attempts)
-    now_ms = call.runtime.now_ms
+
+    def remaining_ms() -> clock.Millis:
+        return call.remaining_ms() + _attempts.DEADLINE_GRACE_MS
+
     try:
-        head = await http.read_head(attempt_deadline_ms - now_ms())
+        head = await http.read_head(remaining_ms())
         answer = call.runtime.platform.decode_answer(head)
         pool = _admission.pool_of(call.service)
         call.observe_limit(target, pool, answer, sent_ms)
-        body = await http.read_body(lambda: attempt_deadline_ms - now_ms())
+        body = await http.read_body(remaining_ms)
     except _channel.ChannelTimeout:
-        if call.remaining_ms() > MIN_REMAINING_MS:
-            return _Attempt(
-                _Result.SLOW,
-                "the target exceeded its threshold for slow responses",
-            )
         return _Attempt(
             _Result.SLOW, "the target did not respond within the deadline"
         )
@@ -210,23 +294,3 @@
     return _attempts.check_response_head(request, answer) or _Attempt(
         _Result.ANSWERED, "", answer, body
     )
-
-
-def _attempt_deadline_ms(
-    call: _runtime.Call, target: fleet.Target, executed_attempts: int
-) -> clock.Millis:
-    """Return the time until which to wait for a target's response.
-
-    The target's usual latency limits it if another attempt may follow.
-    """
-    latest_ms = call.deadline_ms + _attempts.DEADLINE_GRACE_MS
-    if (
-        not call.route.repeatable
-        or executed_attempts + 1 >= call.route.max_attempts
-    ):
-        return latest_ms
-    usual_latency_ms = call.runtime.state.outcomes.latency_ms(target.id)
-    slow_threshold_ms = max(
-        MIN_SLOW_THRESHOLD_MS, SLOW_LATENCY_FACTOR * usual_latency_ms
-    )
-    return min(latest_ms, call.runtime.now_ms() + int(slow_threshold_ms))
