Keep groups whose members are silent for a moment

A second in which sound targets stood still took their groups apart: the streams there ended, and prompts were computed again elsewhere. Cause: one probe without an answer within 250 ms marked its target as lost for 2.5 s, and a group that was silent for 1 s was formed anew. A target that accepts the probe's connection but does not answer it is now asked again and counts as lost after 1.8 s; meanwhile it joins no group, and a silent group that has such a member is kept. A target that accepts no connection counts as lost at once, as before. SilentMemberTest.test_members_silent_for_a_second_keep_their_groups failed before (two groups formed anew for a single silent head).

--- a/packages/core/src/quetzalward_core/grouping/_coordinator.py
+++ b/packages/core/src/quetzalward_core/grouping/_coordinator.py
@@ -101,6 +101,15 @@
         """Record the answer to a probe; `None` if there was none."""
         self._roster.record_report(target_id, report, now_ms)
 
+    def record_unanswered_probe(
+        self, target_id: str, now_ms: clock.Millis
+    ) -> None:
+        """Record that a target accepted a probe but did not answer it.
+
+        It may only stand still for a moment.
+        """
+        self._roster.record_unanswered_probe(target_id, now_ms)
+
     def record_order_answer(
         self,
         order: _model.Order,
@@ -119,6 +128,7 @@
             host.staging = None
             return
         host.alive_ms = now_ms
+        host.silent_since_ms = None
         if isinstance(order, _model.Stage):
             host.record_staging_answer(order.model, answer)
         elif isinstance(order, _model.Leave):
--- a/packages/core/src/quetzalward_core/grouping/_lifecycle.py
+++ b/packages/core/src/quetzalward_core/grouping/_lifecycle.py
@@ -55,6 +55,8 @@
         if self._has_lost_member(group, now_ms):
             group.fail(now_ms)
             return
+        for member in self._silent_members(group, now_ms):
+            self._roster.probe(member, now_ms, commands)
         if group.phase is _model.Phase.FORMING:
             self._await_ready(engine, group, now_ms, commands)
         if group.phase is _model.Phase.OPENING:
@@ -112,12 +114,25 @@
         if last_ms is None or now_ms - last_ms > STALL_REPORT_GAP_MS:
             group.stalled_ms = now_ms
         group.stall_reported_ms = now_ms
-        if now_ms - (group.stalled_ms or now_ms) > STALL_TIMEOUT_MS:
+        stalled_ms = now_ms - (group.stalled_ms or now_ms)
+        if stalled_ms > STALL_TIMEOUT_MS and not self._silent_members(
+            group, now_ms
+        ):
             group.fail(now_ms)
             return
         for member in group.members:
             self._roster.probe(member, now_ms, commands)
 
+    def _silent_members(
+        self, group: _model.Group, now_ms: clock.Millis
+    ) -> list[str]:
+        """Return the members that accept probes but do not answer them."""
+        return [
+            member
+            for member in group.members
+            if self._roster.is_silent(member, now_ms)
+        ]
+
     def _has_lost_member(
         self, group: _model.Group, now_ms: clock.Millis
     ) -> bool:
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -204,6 +204,9 @@
     # Whether the entry has a newer state that was not applied yet.
     has_new_entry: bool = False
     suspect_until_ms: clock.Millis = 0
+    # When the first and the last probe since the last answer were given up.
+    silent_since_ms: clock.Millis | None = None
+    unanswered_ms: clock.Millis = 0
     staging: str | None = None
     staging_ms: clock.Millis = 0
     # Whether the target's entry is gone while its group still serves.
--- a/packages/core/src/quetzalward_core/grouping/_roster.py
+++ b/packages/core/src/quetzalward_core/grouping/_roster.py
@@ -12,6 +12,9 @@
 PROBE_INTERVAL_MS = 400
 # Time for which a target that did not answer a probe is not used.
 SUSPECT_DURATION_MS = 2_500
+# A target that accepts connections but does not answer probes may only stand
+# still for a moment; after this time it counts as lost.
+MAX_SILENCE_MS = 1_800
 # A target's state is confirmed by a probe if it is older than this.
 STATE_MAX_AGE_MS = 1_500
 
@@ -66,6 +69,7 @@
         host = self.host_by_id.get(target_id)
         if host is None:
             return
+        host.silent_since_ms = None
         if report is None:
             host.suspect_until_ms = now_ms + SUSPECT_DURATION_MS
             return
@@ -76,6 +80,19 @@
         host.has_new_entry = False
         host.update(report.membership, report.staged_models)
 
+    def record_unanswered_probe(
+        self, target_id: str, now_ms: clock.Millis
+    ) -> None:
+        """Record that a target accepted a probe but did not answer it."""
+        host = self.host_by_id.get(target_id)
+        if host is None:
+            return
+        if not self.is_silent(target_id, now_ms):
+            host.silent_since_ms = now_ms
+        host.unanswered_ms = now_ms
+        if now_ms - (host.silent_since_ms or now_ms) > MAX_SILENCE_MS:
+            self.record_report(target_id, None, now_ms)
+
     def remove_host(self, target_id: str) -> None:
         """Remove a target whose entry was deleted.
 
@@ -103,6 +120,16 @@
             and not host.unlisted
             and not host.target.draining
             and now_ms >= host.suspect_until_ms
+            and not self.is_silent(target_id, now_ms)
+        )
+
+    def is_silent(self, target_id: str, now_ms: clock.Millis) -> bool:
+        """Tell whether a target accepts probes but does not answer them."""
+        host = self.host_by_id.get(target_id)
+        return (
+            host is not None
+            and host.silent_since_ms is not None
+            and now_ms - host.unanswered_ms <= SUSPECT_DURATION_MS
         )
 
     def usable_by_domain(
--- a/packages/core/tests/grouping/builders.py
+++ b/packages/core/tests/grouping/builders.py
@@ -58,6 +58,8 @@
         # Share of the orders that are executed late and not answered.
         self.delayed_share = 0.0
         self._delayed: list[tuple[clock.Millis, grouping.Order]] = []
+        # Targets that accept connections but answer nothing.
+        self.silent: set[str] = set()
         self.elect(before_traffic=True)
 
     def elect(self, before_traffic: bool = False) -> None:
@@ -100,6 +102,10 @@
     ) -> None:
         """Execute a command, now or after a delay."""
         now_ms = self.fleet.now_ms
+        if command.target_id in self.silent:
+            if isinstance(command, grouping.Probe):
+                coordinator.record_unanswered_probe(command.target_id, now_ms)
+            return
         if isinstance(command, grouping.Probe):
             report = self.fleet.report(command.target_id)
             coordinator.record_report(command.target_id, report, now_ms)
--- a/packages/core/tests/grouping/test_coordinator.py
+++ b/packages/core/tests/grouping/test_coordinator.py
@@ -105,6 +105,61 @@
         self.assertEqual([], self.simulation.fleet.violations)
 
 
+class SilentMemberTest(unittest.TestCase):
+    """Guards against groups given up because sound members were silent."""
+
+    def setUp(self) -> None:
+        """Start with a formed fleet under traffic."""
+        self.simulation = builders.Simulation()
+        self.simulation.run(8_000)
+        self.simulation.start_traffic()
+        self.groups = self.simulation.coordinator.open_groups()
+        self.epoch_by_name = {g.name: g.epoch for g in self.groups}
+
+    def stand_still(self, duration_ms: int, *target_ids: str) -> None:
+        """Let targets be silent, and nodes report their groups as stalled."""
+        simulation = self.simulation
+        simulation.silent.update(target_ids)
+        for _ in range(duration_ms // builders.TICK_MS):
+            for group in self.groups:
+                if simulation.silent.isdisjoint(group.members):
+                    continue
+                for command in simulation.coordinator.handle_stall(
+                    group.name, group.epoch, simulation.fleet.now_ms
+                ):
+                    simulation.execute(simulation.coordinator, command)
+            simulation.run(builders.TICK_MS)
+
+    def check_kept(self) -> None:
+        """Check that no group has been formed anew."""
+        self.simulation.silent.clear()
+        self.simulation.run(3_000)
+        for group in self.groups:
+            self.assertIs(grouping.Phase.OPEN, group.phase)
+        epochs = {g.name: g.epoch for g in self.groups}
+        self.assertEqual(self.epoch_by_name, epochs)
+
+    def test_members_silent_for_a_second_keep_their_groups(self) -> None:
+        """A head, other members, or all targets at once."""
+        group = self.groups[0]
+        for silent in (
+            group.members[:1],
+            group.members[1:],
+            tuple(self.simulation.fleet.target_by_id),
+        ):
+            self.stand_still(1_000, *silent)
+            self.check_kept()
+
+    def test_member_that_stays_silent_is_replaced(self) -> None:
+        """It accepts connections, but will not serve again."""
+        group = self.groups[0]
+        member = group.members[1]
+        self.stand_still(3_000, member)
+        self.simulation.run(3_000)
+        self.assertIs(grouping.Phase.OPEN, group.phase)
+        self.assertNotIn(member, group.members)
+
+
 class LoadOrderTest(unittest.TestCase):
     """Guards against loads for groups that staged spares complete."""
 
--- a/packages/gateway/src/quetzalward_gateway/_commands.py
+++ b/packages/gateway/src/quetzalward_gateway/_commands.py
@@ -63,8 +63,16 @@
             report = runtime.platform.decode_report(answer)
         except _http.CallFailed as error:
             runtime.log.event(
-                "report_missing", target=command.target_id, reason=str(error)
+                "report_missing",
+                target=command.target_id,
+                reached=error.sent,
+                reason=str(error),
             )
+            if error.sent:
+                coordinator.record_unanswered_probe(
+                    command.target_id, runtime.now_ms()
+                )
+                return
         coordinator.record_report(command.target_id, report, runtime.now_ms())
 
     async def _send_order(
