--- a/packages/core/src/quetzalward_core/grouping/_lifecycle.py
+++ b/packages/core/src/quetzalward_core/grouping/_lifecycle.py
@@ -113,11 +113,15 @@
         last_ms = group.stall_reported_ms
         if last_ms is None or now_ms - last_ms > STALL_REPORT_GAP_MS:
             group.stalled_ms = now_ms
+            group.had_silent_member = False
         group.stall_reported_ms = now_ms
-        stalled_ms = now_ms - (group.stalled_ms or now_ms)
-        if stalled_ms > STALL_TIMEOUT_MS and not self._silent_members(
-            group, now_ms
-        ):
+        if self._silent_members(group, now_ms):
+            group.had_silent_member = True
+        limit_ms = STALL_TIMEOUT_MS
+        if group.had_silent_member:
+            # A member that stood still needs time to go on.
+            limit_ms += _roster.MAX_SILENCE_MS
+        if now_ms - (group.stalled_ms or now_ms) > limit_ms:
             group.fail(now_ms)
             return
         for member in group.members:
--- a/packages/core/src/quetzalward_core/grouping/_model.py
+++ b/packages/core/src/quetzalward_core/grouping/_model.py
@@ -123,6 +123,8 @@
     # First and last report of the current stall.
     stalled_ms: clock.Millis | None = None
     stall_reported_ms: clock.Millis | None = None
+    # Whether a member was silent during the current stall.
+    had_silent_member: bool = False
     # Whether the group closes for good, to make room for another model.
     retiring: bool = False
 
--- a/packages/core/src/quetzalward_core/placing/_loads.py
+++ b/packages/core/src/quetzalward_core/placing/_loads.py
@@ -21,6 +21,9 @@
 # The group's members are asked for reports after a shorter silence, which
 # costs little if the group is healthy.
 CHECK_AFTER_MS = 260
+# A suspected group without requests is tried again after this time, in which
+# the coordinator finds a group that has lost a member.
+SUSPICION_MS = 2_000
 # For a slow group, the two limits are these numbers of missed passes.
 CHECK_AFTER_PASSES = 3
 STALL_PASSES = 6
@@ -119,6 +122,19 @@
         if self.suspected_since_ms is None:
             self.suspected_since_ms = now_ms
 
+    def expire_suspicion(self, now_ms: clock.Millis) -> None:
+        """End a suspicion that no request can refute any more.
+
+        Call this for groups that the coordinator lists.
+        """
+        if (
+            not self.active
+            and self.suspected_since_ms is not None
+            and now_ms - self.suspected_since_ms > SUSPICION_MS
+        ):
+            self.suspected_since_ms = None
+            self.check_requested = False
+
     def observe_gap(self, gap_ms: float, predicted_ms: float) -> None:
         """Record a gap between two events and its prediction."""
         ratio = gap_ms / max(1.0, predicted_ms)
--- a/packages/core/tests/grouping/test_coordinator.py
+++ b/packages/core/tests/grouping/test_coordinator.py
@@ -150,6 +150,23 @@
             self.stand_still(1_000, *silent)
             self.check_kept()
 
+    def test_reports_that_trail_a_silence_end_no_group(self) -> None:
+        """Nodes report a stall for up to a message's age after its end."""
+        for silence_ms in (900, 1_100, 1_400, 1_600):
+            self.setUp()
+            group = self.groups[0]
+            self.stand_still(silence_ms, group.head)
+            self.simulation.silent.clear()
+            for _ in range(600 // builders.TICK_MS):
+                for command in self.simulation.coordinator.handle_stall(
+                    group.name, group.epoch, self.simulation.fleet.now_ms
+                ):
+                    self.simulation.execute(
+                        self.simulation.coordinator, command
+                    )
+                self.simulation.run(builders.TICK_MS)
+            self.check_kept()
+
     def test_member_that_stays_silent_is_replaced(self) -> None:
         """It accepts connections, but will not serve again."""
         group = self.groups[0]
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -55,6 +55,8 @@
         self._state = call.runtime.state
         self._pool = _admission.pool_of(call.service)
         self._tried: set[str] = set()
+        # Targets that have been recorded as slow.
+        self._slow: set[str] = set()
         self._target_by_task: dict[asyncio.Task[_Attempt], fleet.Target] = {}
         self._executed_attempts = 0
         self._unexecuted_attempts = 0
@@ -113,7 +115,11 @@
                 self._call.service, self._tried, runtime.now_ms()
             )
 
-        target = await _permit_wait.place(self._call, self._pool, choose)
+        if self._target_by_task:
+            # One of them may answer during a wait for a permit.
+            target = choose()
+        else:
+            target = await _permit_wait.place(self._call, self._pool, choose)
         if isinstance(target, placing.Refusal):
             self._is_exhausted = True
             self._refusal = self._state.final_refusal(
@@ -172,6 +178,9 @@
     def _record_slow(self) -> None:
         """Record that the targets asked so far have not answered in time."""
         for target in self._target_by_task.values():
+            if target.id in self._slow:
+                continue
+            self._slow.add(target.id)
             now_ms = self._call.runtime.now_ms()
             self._state.observe_outcome(target.id, False, 0.0, now_ms)
             self._call.log_event("target_slow", target=target.id)
@@ -179,6 +188,7 @@
     def _process(self, attempt: _Attempt) -> bool:
         """Process the end of an attempt; true if the caller got its answer."""
         self._last = attempt
+        self._is_exhausted = False
         if attempt.result is _Result.UNREACHABLE:
             return False
         if attempt.result is _Result.NOT_RUN:
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -217,6 +217,8 @@
             if key not in row_by_key:
                 load.others_active = load.others_prefill_tokens = 0.0
                 load.others_updated_ms = now_ms
+            if key in keys:
+                load.expire_suspicion(now_ms)
         for key, row in row_by_key.items():
             load = self.load_of(key)
             load.others_active = max(0.0, row.active - load.reported_active)
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -122,11 +122,6 @@
             )
         return attempt
 
-    @property
-    def is_lost(self) -> bool:
-        """Tell whether the coordinator has given up the group's epoch."""
-        return self._load.lost
-
     def supersede(self) -> None:
         """End this attempt, since another one writes to the caller."""
         self._is_superseded = True
@@ -297,12 +292,18 @@
         behind the last one that was accepted.
         """
         accepted = []
+        last_id = self._progress.sequence.last_id
         for event in events:
             try:
                 if self._progress.sequence.accept(event):
                     accepted.append(event.data)
             except _events.NotAnEvent as error:
                 return b"".join(accepted), error
+            except _events.EventGap:
+                # None of these events is forwarded, so that another attempt
+                # may still write them.
+                self._progress.sequence.last_id = last_id
+                raise
         return b"".join(accepted), None
 
     def _record_event(self) -> None:
@@ -392,6 +393,7 @@
             if not self._is_silent:
                 self._is_silent = True
                 load.suspect(now_ms)
+                self._state.send_message_now = True
                 self._call.log_event(
                     "attempt_silent",
                     target=place.group.head.id,
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -185,13 +185,10 @@
         now_ms = self._call.runtime.now_ms()
         if self._hedge is not None and not self._hedge.done():
             return
-        max_executions = self._call.route.max_attempts
-        if attempt.is_lost:
-            max_executions = max(max_executions, MAX_EXECUTIONS_ON_LOSS)
         executions = self._executed_attempts + len(self._open_attempts)
         if (
             not self._call.route.repeatable
-            or executions >= max_executions
+            or executions >= self._call.route.max_attempts
             or self._unexecuted_attempts > MAX_UNEXECUTED_ATTEMPTS
             or self._is_budget_exhausted
             or self._call.remaining_ms() <= MIN_REMAINING_MS
@@ -212,7 +209,11 @@
     async def _run_hedge(self) -> _Outcome | None:
         """Send the request to another group; `None` if there is no place."""
         place = await _permit_wait.place(self._call, self._pool, self._choose)
-        if isinstance(place, placing.Refusal) or self._is_blocked():
+        if (
+            isinstance(place, placing.Refusal)
+            or self._is_blocked()
+            or self._is_suspect()
+        ):
             return None
         if not self._call.try_spend_retry():
             self._is_budget_exhausted = True
@@ -229,7 +230,13 @@
             except asyncio.CancelledError:
                 hedge.cancel()
                 raise
-            outcome = hedge_outcome or outcome
+            if hedge_outcome is not None:
+                crash_weight = max(
+                    outcome.crash_weight, hedge_outcome.crash_weight
+                )
+                outcome = attrs.evolve(
+                    hedge_outcome, crash_weight=crash_weight
+                )
         return outcome
 
     def _cancel_hedge(self) -> None:
--- a/packages/gateway/tests/test_silent_targets.py
+++ b/packages/gateway/tests/test_silent_targets.py
@@ -156,6 +156,62 @@
         late = scripted((HEAD, SILENCE_S), (chunks(3, 4) + END, 3.0))
         self.check_whole(await stream([resumed, late], 2))
 
+    async def test_attempt_that_skips_an_event_takes_none_from_the_other(
+        self,
+    ) -> None:
+        """Events before the gap were dropped as duplicates of the other."""
+        gap = event(3) + event(5)
+        gap_chunk = b"%x\r\n%s\r\n" % (len(gap), gap)
+        self.check_whole(
+            await stream(
+                [
+                    scripted(
+                        (HEAD + chunks(1, 2), SILENCE_S),
+                        (chunks(3, 4) + END, 0),
+                    ),
+                    scripted((HEAD + gap_chunk, 0)),
+                ],
+                2,
+            )
+        )
+        self.check_whole(
+            await stream(
+                [
+                    scripted((HEAD + chunks(1, 2), 1.0), (gap_chunk, 0)),
+                    scripted((HEAD, 0.9), (chunks(3, 4) + END, 0)),
+                ],
+                2,
+            )
+        )
+
+    async def test_prompt_under_suspicion_is_not_sent_again(self) -> None:
+        """It may crash a second target."""
+        other = scripted((HEAD, 0))
+        silent = scripted((HEAD, SILENCE_S), (chunks(1, 4) + END, 0))
+        with mock.patch.object(
+            _streaming.StreamExchange, "_is_suspect", return_value=True
+        ):
+            self.check_whole(await stream([silent, other], 2))
+        self.assertFalse(other.closed.is_set())
+
+    async def test_group_is_used_again_after_its_stream_moved(self) -> None:
+        """Only its own events ended the suspicion, and it got no request."""
+        silent = scripted((HEAD + chunks(1, 2), 3 * SILENCE_S))
+        other = scripted((HEAD + chunks(3, 4) + END, 0))
+        call = await stream([silent, other], 2)
+        state, now_ms = call.runtime.state, call.runtime.now_ms()
+        load = state.load_of(("g0", 1))
+        self.assertTrue(load.suspected)
+        entry = coordination.GroupEntry("g0", 1, "m", "t0")
+        groups = coordination.GroupList(1, (entry,), ())
+        view = coordination.View(
+            "a", 1, "", now_ms, 1, True, 1, groups, (), ()
+        )
+        state.apply_view(view, now_ms + 1_000)
+        self.assertTrue(load.suspected)
+        state.apply_view(view, now_ms + 3_000)
+        self.assertFalse(load.suspected)
+
     async def test_silence_is_no_evidence_of_a_crash(self) -> None:
         """Otherwise sound prompts are blocked when targets stand still."""
         target = scripted(
@@ -169,17 +225,23 @@
     """Guards against answers given up while their target was silent."""
 
     async def send(
-        self, *targets: hostile_targets.HostileTarget
+        self, *targets: hostile_targets.HostileTarget | None
     ) -> fakes.Call:
-        """Send a repeatable request before some targets."""
+        """Send a repeatable request before some targets.
+
+        The search for a target fails once in place of `None`.
+        """
         call = fakes.Call()
         call.route = attrs.evolve(
             call.route, kind=fleet.RequestKind.IDEMPOTENT, max_attempts=2
         )
         call.service = fleet.Service("s", "/", 0, 0.0)
-        places = []
+        places: list[typing.Any] = []
         async with contextlib.AsyncExitStack() as stack:
             for number, target in enumerate(targets):
+                if target is None:
+                    places.append(NO_GROUP)
+                    continue
                 await stack.enter_async_context(target.running())
                 places.append(place(number, target.address).group.head)
             with mock.patch.object(
@@ -210,6 +272,18 @@
             )
             self.assertEqual(expected, call.responder.body)
 
+    async def test_target_that_is_free_later_is_asked(self) -> None:
+        """None was left when the first one was slow; then that one fails."""
+        refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+        for data in (b"HTTP/1.1", refusal):
+            call = await self.send(
+                scripted((b"", 0.5 * SILENCE_S), (data, 0)),
+                None,
+                scripted((ANSWER % (1, b"b"), 0)),
+            )
+            self.assertEqual(b"b", call.responder.body)
+            self.assertEqual([], call.refusals)
+
     async def test_failure_of_the_second_target_does_not_end_the_request(
         self,
     ) -> None:
