Report each request that ends without an answer, and answer faults

Callers saw a reset, or the end of the connection, where a handler returned without a response or a response could not be encoded. A request that was read, wholly or in part, and got no status left no log line with its id.

Only a handler's exceptions were caught, and only its result was logged; the server of the callers' connections had no log. Whatever else was raised there ended the connection's task.

The server now knows how far each connection is (head, body, handling) and reports each end without an answer, and each answer of its own, to the node, which logs it as `unanswered` or `rejected` with the request's id. As long as nothing of a response was written, a fault is answered with 500.

Before the change, test_handler_without_a_response and test_response_that_cannot_be_sent received nothing instead of 500; the tests of callers that close and of an exception after the head found no report.

--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -47,7 +47,10 @@
             platform, state, time_source, log, _metrics.Metrics(), store
         )
         self._callers = _server.CallerServer(
-            self._handle, state.caller_limits, time_source.now_ms
+            self._handle,
+            state.caller_limits,
+            time_source.now_ms,
+            self._log_ended,
         )
         self._readiness = _status_server.StatusServer(self._readiness_answer)
         self._metrics = _status_server.StatusServer(self._metrics_answer)
@@ -68,6 +71,22 @@
     ) -> None:
         await _exchange.handle(self.runtime, raw, responder)
 
+    def _log_ended(self, ended: _server.Ended) -> None:
+        """Log a request that the handler did not answer."""
+        head = ended.head
+        request = None
+        if head is not None:
+            request = _exchange.request_id(
+                self.runtime, head.method, head.target, list(head.headers)
+            )
+        self.runtime.log.event(
+            "unanswered" if ended.status is None else "rejected",
+            request=request,
+            phase=ended.phase.value,
+            status=ended.status,
+            reason=ended.reason,
+        )
+
     def _is_ready(self) -> bool:
         state = self.runtime.state
         return (
--- a/packages/gateway/src/quetzalward_gateway/_exchange.py
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -4,6 +4,7 @@
 
 from quetzalward_core import errors
 from quetzalward_core import fleet
+from quetzalward_gateway import _http
 from quetzalward_gateway import _plain
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
@@ -28,33 +29,42 @@
     the status of an internal error unless a response has been started.
     """
     try:
-        await _handle(runtime, raw, responder)
+        request = runtime.platform.decode_request(
+            raw.method, raw.target, raw.headers
+        )
+        runtime.state.request_count += 1
+        call = _admit(runtime, raw, request, responder)
+        if isinstance(call, _runtime.Refused):
+            _runtime.refuse(runtime, request, responder, call)
+            return
+        if call.service.engine is not None:
+            await _streaming.StreamExchange(call).run()
+        else:
+            await _plain.run(call)
     except Exception as error:
         runtime.log.event(
-            "internal_error", reason=traceback.format_exc(), error=repr(error)
+            "internal_error",
+            request=request_id(runtime, raw.method, raw.target, raw.headers),
+            reason=traceback.format_exc(),
+            error=repr(error),
         )
         if not responder.started:
             status = errors.PROBLEM_TYPES[errors.ErrorKind.INTERNAL].status
             responder.send_response(status, [], b"")
 
 
-async def _handle(
+def request_id(
     runtime: _runtime.Runtime,
-    raw: _server.RawRequest,
-    responder: _server.Responder,
-) -> None:
-    request = runtime.platform.decode_request(
-        raw.method, raw.target, raw.headers
-    )
-    runtime.state.request_count += 1
-    call = _admit(runtime, raw, request, responder)
-    if isinstance(call, _runtime.Refused):
-        _runtime.refuse(runtime, request, responder, call)
-        return
-    if call.service.engine is not None:
-        await _streaming.StreamExchange(call).run()
-    else:
-        await _plain.run(call)
+    method: bytes,
+    target: bytes,
+    headers: _http.Headers,
+) -> str | None:
+    """Return the id of a request, `None` if it cannot be decoded."""
+    try:
+        request = runtime.platform.decode_request(method, target, headers)
+    except Exception:
+        return None
+    return request.attempt_id.decode("latin-1")
 
 
 def _admit(
--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections.abc
+import enum
+import traceback
 import typing
 
 import attrs
@@ -20,12 +22,20 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
 
 
+# Sent where the parser's state may not allow a response any more.
+_INTERNAL_ERROR_RESPONSE = (
+    b"HTTP/1.1 500 Internal Server Error\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+
 @attrs.frozen
 class RawRequest:
     """A complete request as read from a connection."""
@@ -52,6 +62,12 @@
         self._is_closing = is_closing
         self.started = False
         self.finished = False
+        self.aborted = False
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the caller's connection is open."""
+        return not self._channel.lost
 
     def _encode_head(self, status: int, headers: _http.Headers) -> bytes:
         if self._is_closing():
@@ -61,7 +77,6 @@
             headers=headers,
             reason=_REASON_PHRASES.get(status, b""),
         )
-        self.started = True
         return self._http.send(response) or b""
 
     def send_response(
@@ -73,15 +88,15 @@
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        self.finished = True
+        self.started = self.finished = True
         self._channel.write(data)
 
     def start_stream(self, status: int, headers: _http.Headers) -> None:
         """Send the head of a streamed response, with chunked encoding."""
         transfer_encoding = (b"transfer-encoding", b"chunked")
-        self._channel.write(
-            self._encode_head(status, [*headers, transfer_encoding])
-        )
+        data = self._encode_head(status, [*headers, transfer_encoding])
+        self.started = True
+        self._channel.write(data)
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a streamed response; wait for the write buffer."""
@@ -95,6 +110,7 @@
 
     def abort(self) -> None:
         """Abort an incomplete response; the caller sees a reset."""
+        self.aborted = True
         self._channel.abort()
 
 
@@ -103,14 +119,57 @@
 ]
 
 
+class Phase(enum.Enum):
+    """How far a caller's connection is with its current request."""
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    # The request has been read, and is with the handler.
+    HANDLING = "handling"
+
+
+@attrs.frozen
+class Ended:
+    """A request that ended without an answer of the handler."""
+
+    phase: Phase
+    reason: str
+    # `None` if not even a status was sent.
+    status: int | None
+    # `None` if the head was not complete.
+    head: h11.Request | None
+
+
 class _Rejected(Exception):
     """A request violates the protocol or the limits."""
 
-    def __init__(self, status: int) -> None:
-        super().__init__(str(status))
+    def __init__(self, status: int, reason: str = "") -> None:
+        super().__init__(reason or f"status {status}")
         self.status = status
 
 
+@attrs.define(eq=False)
+class _Connection:
+    """A caller's connection and how far it is with its current request."""
+
+    channel: _channel.Channel
+    http: h11.Connection
+    phase: Phase = Phase.IDLE
+    head: h11.Request | None = None
+    responder: Responder | None = None
+
+    @property
+    def has_input(self) -> bool:
+        """Tell whether bytes of another request have been received."""
+        return self.channel.has_input or bool(self.http.trailing_data[0])
+
+    @property
+    def has_response(self) -> bool:
+        """Tell whether the response to the current request has begun."""
+        return self.responder is not None and self.responder.started
+
+
 class CallerServer:
     """Accepts callers' connections and passes requests to a handler."""
 
@@ -119,13 +178,19 @@
         handler: Handler,
         limits: collections.abc.Callable[[], fleet.CallerLimits],
         now_ms: collections.abc.Callable[[], clock.Millis],
+        on_ended: collections.abc.Callable[[Ended], None] = lambda _: None,
     ) -> None:
-        """Take a handler; `limits` is called for each request."""
+        """Take a handler; `limits` is called for each request.
+
+        `on_ended` is called for each request that the handler left without
+        an answer, or that did not reach it.
+        """
         self._handler = handler
         self._limits = limits
         self._now_ms = now_ms
+        self._on_ended = on_ended
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._connection_by_task: dict[asyncio.Task[None], _Connection] = {}
         self._idle_channels: set[_channel.Channel] = set()
         self._is_draining = False
         self._is_closing = False
@@ -143,7 +208,7 @@
     @property
     def in_flight(self) -> int:
         """Return the number of connections that are not idle."""
-        return len(self._tasks) - len(self._idle_channels)
+        return len(self._connection_by_task) - len(self._idle_channels)
 
     def drain(self) -> None:
         """Close each connection after its next response."""
@@ -161,91 +226,112 @@
 
     def abort_all(self) -> None:
         """Cancel the tasks of all connections."""
-        for task in list(self._tasks):
+        for task in list(self._connection_by_task):
             task.cancel()
 
     def _start_serving(self, channel: _channel.Channel) -> None:
+        connection = _Connection(channel, self._parser())
         task = asyncio.get_running_loop().create_task(
-            self._serve_connection(channel)
+            self._serve_connection(connection)
         )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._connection_by_task[task] = connection
+        task.add_done_callback(self._forget)
 
-    async def _serve_connection(self, channel: _channel.Channel) -> None:
-        """Serve the requests of one connection in turn."""
-        limits = self._limits()
-        http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._connection_by_task.pop(task, None)
+
+    def _parser(self) -> h11.Connection:
+        """Return a parser with the current limits."""
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits().header_bytes
         )
+
+    async def _serve_connection(self, connection: _Connection) -> None:
+        """Serve the requests of one connection in turn."""
+        channel = connection.channel
         try:
             while not channel.lost:
-                request = await self._read_request(http, channel)
+                request = await self._read_request(connection)
                 if request is None:
                     break
-                if not await self._handle_request(http, channel, request):
+                if not await self._handle_request(connection, request):
                     break
+            self._report_dropped_input(connection)
             channel.close()
         except _Rejected as error:
-            self._reject(http, channel, error.status)
-        except (_channel.ChannelReset, _channel.ChannelTimeout):
+            self._reject(connection, error)
+        except (_channel.ChannelReset, _channel.ChannelTimeout) as error:
+            self._report(connection, str(error) or "timeout")
             channel.abort()
+        except Exception:
+            self._end_failed(connection)
         finally:
             self._idle_channels.discard(channel)
             if not channel.lost:
                 channel.close()
 
     async def _handle_request(
-        self,
-        http: h11.Connection,
-        channel: _channel.Channel,
-        request: RawRequest,
+        self, connection: _Connection, request: RawRequest
     ) -> bool:
         """Handle a request; return whether the connection stays open."""
+        channel, http = connection.channel, connection.http
+        connection.phase = Phase.HANDLING
         responder = Responder(http, channel, lambda: self._is_draining)
+        connection.responder = responder
         task = asyncio.current_task()
         assert task is not None
         channel.on_lost = lambda: _cancel_handling(task)
         try:
             await self._handler(request, responder)
         except asyncio.CancelledError:
-            # The caller disconnected, or the node stops; either way nothing
-            # more can be sent.
+            reason = "the caller has left" if channel.lost else "cancelled"
+            self._report(connection, reason)
             channel.abort()
             return False
         finally:
             channel.on_lost = None
         if not responder.finished:
-            channel.abort()
+            self._end_unfinished(connection, responder)
             return False
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
         if self._is_closing:
             return False
         http.start_next_cycle()
+        connection.phase, connection.head = Phase.IDLE, None
+        connection.responder = None
         return True
 
     async def _read_request(
-        self, http: h11.Connection, channel: _channel.Channel
+        self, connection: _Connection
     ) -> RawRequest | None:
         """Return the next request, `None` if the connection ends first.
 
         Raises `_Rejected` if the request violates the protocol or the limits.
         """
         limits = self._limits()
-        head = await self._read_head(http, channel, limits)
-        if head is None:
+        if not await self._await_input(connection, limits):
+            return None
+        connection.phase = Phase.HEAD
+        head = await self._next_event(connection, limits.header_timeout_ms)
+        if isinstance(head, h11.ConnectionClosed):
+            connection.phase = Phase.IDLE
             return None
+        if not isinstance(head, h11.Request):
+            raise _Rejected(400)
         received_ms = self._now_ms()
+        connection.phase, connection.head = Phase.BODY, head
+        http = connection.http
         if http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
             )
-            channel.write(http.send(continue_response) or b"")
+            connection.channel.write(http.send(continue_response) or b"")
         parts: list[bytes] = []
         body_bytes = 0
         while True:
             event = await self._next_event(
-                http, channel, limits.header_timeout_ms
+                connection, limits.header_timeout_ms
             )
             if isinstance(event, h11.EndOfMessage):
                 break
@@ -263,37 +349,29 @@
             received_ms,
         )
 
-    async def _read_head(
-        self,
-        http: h11.Connection,
-        channel: _channel.Channel,
-        limits: fleet.CallerLimits,
-    ) -> h11.Request | None:
-        if not channel.has_input and not http.trailing_data[0]:
-            self._idle_channels.add(channel)
-            if self._is_closing:
-                return None
-            try:
-                data = await channel.receive(limits.idle_timeout_ms)
-            except _channel.ChannelTimeout:
-                return None
-            finally:
-                self._idle_channels.discard(channel)
-            if not data:
-                return None
-            self._feed(http, data)
-        event = await self._next_event(http, channel, limits.header_timeout_ms)
-        if isinstance(event, h11.ConnectionClosed):
-            return None
-        if not isinstance(event, h11.Request):
-            raise _Rejected(400)
-        return event
+    async def _await_input(
+        self, connection: _Connection, limits: fleet.CallerLimits
+    ) -> bool:
+        """Wait for a request's first bytes; false if there will be none."""
+        channel = connection.channel
+        if connection.has_input:
+            return True
+        if self._is_closing:
+            return False
+        self._idle_channels.add(channel)
+        try:
+            data = await channel.receive(limits.idle_timeout_ms)
+        except (_channel.ChannelTimeout, _channel.ChannelReset):
+            return False
+        finally:
+            self._idle_channels.discard(channel)
+        if data:
+            connection.phase = Phase.HEAD
+            self._feed(connection.http, data)
+        return bool(data)
 
     async def _next_event(
-        self,
-        http: h11.Connection,
-        channel: _channel.Channel,
-        timeout_ms: float,
+        self, connection: _Connection, timeout_ms: float
     ) -> typing.Any:
         """Return the next part of a request.
 
@@ -303,49 +381,100 @@
         deadline_ms = self._now_ms() + timeout_ms
         while True:
             try:
-                event = http.next_event()
+                event = connection.http.next_event()
             except h11.RemoteProtocolError as error:
-                raise _Rejected(error.error_status_hint) from error
+                raise _Rejected(error.error_status_hint, str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
             left_ms = deadline_ms - self._now_ms()
             if left_ms <= 0:
                 raise _Rejected(408)
             try:
-                data = await channel.receive(left_ms)
+                data = await connection.channel.receive(left_ms)
             except _channel.ChannelTimeout as error:
                 raise _Rejected(408) from error
             if not data:
                 raise _channel.ChannelReset(
                     "the caller closed the connection within a request"
                 )
-            self._feed(http, data)
+            self._feed(connection.http, data)
 
     @staticmethod
     def _feed(http: h11.Connection, data: bytes) -> None:
         try:
             http.receive_data(data)
         except h11.RemoteProtocolError as error:
-            raise _Rejected(error.error_status_hint) from error
+            raise _Rejected(error.error_status_hint, str(error)) from error
+
+    # Requests that the handler does not answer.
+
+    def _report(
+        self,
+        connection: _Connection,
+        reason: str,
+        status: int | None = None,
+    ) -> None:
+        self._on_ended(
+            Ended(connection.phase, reason, status, connection.head)
+        )
+
+    def _report_dropped_input(self, connection: _Connection) -> None:
+        """Report a request behind one that ended the connection."""
+        if connection.responder is not None and connection.has_input:
+            connection.phase, connection.head = Phase.HEAD, None
+            self._report(
+                connection, "the previous request ended the connection"
+            )
 
-    @staticmethod
     def _reject(
-        http: h11.Connection, channel: _channel.Channel, status: int
+        self,
+        connection: _Connection,
+        error: _Rejected,
     ) -> None:
+        """Answer a request that is not passed to the handler."""
+        http, channel = connection.http, connection.channel
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._report(connection, str(error))
             channel.abort()
             return
+        self._report(connection, str(error), error.status)
         response = h11.Response(
-            status_code=status,
+            status_code=error.status,
             headers=[
                 (b"content-length", b"0"),
                 (b"connection", b"close"),
             ],
-            reason=_REASON_PHRASES.get(status, b""),
+            reason=_REASON_PHRASES.get(error.status, b""),
         )
         channel.write(http.send(response) or b"")
         channel.close()
 
+    def _end_unfinished(
+        self, connection: _Connection, responder: Responder
+    ) -> None:
+        """End a request whose handler returned without a whole response."""
+        if responder.aborted:
+            # The handler has said why.
+            return
+        if responder.started:
+            self._report(
+                connection, "the handler left the response incomplete"
+            )
+            connection.channel.abort()
+            return
+        self._report(connection, "the handler gave no response", 500)
+        connection.channel.write(_INTERNAL_ERROR_RESPONSE)
+
+    def _end_failed(self, connection: _Connection) -> None:
+        """End a request under which an unexpected exception was raised."""
+        reason = traceback.format_exc()
+        if connection.has_response:
+            self._report(connection, reason)
+            connection.channel.abort()
+            return
+        self._report(connection, reason, 500)
+        connection.channel.write(_INTERNAL_ERROR_RESPONSE)
+
 
 def _cancel_handling(task: asyncio.Task[None]) -> None:
     """Cancel the handling of a request whose caller has disconnected."""
--- a/packages/gateway/tests/test_callers_connections.py
+++ b/packages/gateway/tests/test_callers_connections.py
@@ -1,4 +1,4 @@
-"""Tests of the callers' connections: slow heads and planned stops."""
+"""Tests of the callers' connections: limits, stops and their ends."""
 
 import asyncio
 import contextlib
@@ -11,6 +11,8 @@
 
 # Time to notice an answer on a busy machine.
 WAIT_S = 3.0
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+POST_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
 
 
 async def answer(
@@ -23,12 +25,17 @@
 @contextlib.asynccontextmanager
 async def connection(
     limits: fleet.CallerLimits,
+    handler: _server.Handler = answer,
+    get_limits: typing.Callable[[], fleet.CallerLimits] | None = None,
+    **options: typing.Any,
 ) -> typing.AsyncIterator[
     tuple[_server.CallerServer, asyncio.StreamReader, asyncio.StreamWriter]
 ]:
     """Start a server and open a caller's connection to it."""
     time_source = clock.SystemClock()
-    server = _server.CallerServer(answer, lambda: limits, time_source.now_ms)
+    server = _server.CallerServer(
+        handler, get_limits or (lambda: limits), time_source.now_ms, **options
+    )
     await server.start(fleet.Address("127.0.0.1", 0))
     assert server._server is not None
     port = server._server.sockets[0].getsockname()[1]
@@ -88,5 +95,89 @@
         )
 
 
+class UnansweredTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that end without an answer or a log line."""
+
+    def setUp(self) -> None:
+        """Collect what the server reports."""
+        self.ended: list[typing.Any] = []
+
+    async def exchange(self, handler: _server.Handler) -> bytes:
+        """Send a request; return the start of the answer."""
+        async with connection(
+            fleet.CallerLimits(), handler, on_ended=self.ended.append
+        ) as (_, reader, writer):
+            writer.write(REQUEST)
+            async with asyncio.timeout(WAIT_S):
+                try:
+                    return await reader.read(12)
+                except ConnectionError:
+                    return b""
+
+    async def test_handler_without_a_response(self) -> None:
+        """The caller saw a reset."""
+
+        async def handler(
+            raw: _server.RawRequest, responder: _server.Responder
+        ) -> None:
+            """Return."""
+
+        self.assertEqual(b"HTTP/1.1 500", await self.exchange(handler))
+        (ended,) = self.ended
+        self.assertEqual(_server.Phase.HANDLING, ended.phase)
+        self.assertEqual(b"/", ended.head.target)
+
+    async def test_response_that_cannot_be_sent(self) -> None:
+        """The caller saw the end of the connection."""
+
+        async def handler(
+            raw: _server.RawRequest, responder: _server.Responder
+        ) -> None:
+            responder.send_response(204, [], b"no body is allowed here")
+
+        self.assertEqual(b"HTTP/1.1 500", await self.exchange(handler))
+        self.assertIn("LocalProtocolError", self.ended[0].reason)
+
+    async def test_exception_after_the_head(self) -> None:
+        """What has begun must not look complete."""
+
+        async def handler(
+            raw: _server.RawRequest, responder: _server.Responder
+        ) -> None:
+            responder.start_stream(200, [])
+            raise ValueError
+
+        await self.exchange(handler)
+        (ended,) = self.ended
+        self.assertIsNone(ended.status)
+        self.assertIn("ValueError", ended.reason)
+
+    async def close_within(self, part: bytes) -> typing.Any:
+        """Send a part of a request and close; return the report."""
+        async with connection(
+            fleet.CallerLimits(), on_ended=self.ended.append
+        ) as (_, reader, writer):
+            writer.write(part)
+            writer.write_eof()
+            async with asyncio.timeout(WAIT_S):
+                with contextlib.suppress(ConnectionError):
+                    await reader.read()
+        (ended,) = self.ended
+        return ended
+
+    async def test_caller_that_closes_within_the_head(self) -> None:
+        """A single byte has come in."""
+        ended = await self.close_within(REQUEST[:1])
+        self.assertEqual(_server.Phase.HEAD, ended.phase)
+        self.assertIsNone(ended.head)
+
+    async def test_caller_that_closes_within_the_body(self) -> None:
+        """The request's id is known."""
+        part = POST_HEAD + b"Content-Length: 9\r\n\r\nabc"
+        ended = await self.close_within(part)
+        self.assertEqual(_server.Phase.BODY, ended.phase)
+        self.assertIsNotNone(ended.head)
+
+
 if __name__ == "__main__":
     unittest.main()
