Apply the limits in force when a request begins on a kept connection

Callers got 431 or 413 for requests that a new configuration allows, and the end of the connection where it allows a longer idle time, if their connection was older than that configuration.

The limit of the head was fixed with the connection's parser, the others when the connection became idle. Each request now has a parser and limits of its own from its first bytes, and an idle connection looks at the limit again before it is closed.

Before the change, the three tests of ChangedLimitsTest got 431, 413 and the end of the connection instead of 200.

--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -241,7 +241,7 @@
         self._connection_by_task.pop(task, None)
 
     def _parser(self) -> h11.Connection:
-        """Return a parser with the current limits."""
+        """Return a parser of one request, with the current limits."""
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits().header_bytes
         )
@@ -297,9 +297,12 @@
             return False
         if self._is_closing:
             return False
-        http.start_next_cycle()
+        rest = http.trailing_data[0]
+        connection.http = self._parser()
         connection.phase, connection.head = Phase.IDLE, None
         connection.responder = None
+        if rest:
+            self._feed(connection.http, rest)
         return True
 
     async def _read_request(
@@ -309,9 +312,10 @@
 
         Raises `_Rejected` if the request violates the protocol or the limits.
         """
-        limits = self._limits()
-        if not await self._await_input(connection, limits):
+        if not await self._await_input(connection):
             return None
+        # In force for the whole request.
+        limits = self._limits()
         connection.phase = Phase.HEAD
         head = await self._next_event(connection, limits.header_timeout_ms)
         if isinstance(head, h11.ConnectionClosed):
@@ -349,26 +353,35 @@
             received_ms,
         )
 
-    async def _await_input(
-        self, connection: _Connection, limits: fleet.CallerLimits
-    ) -> bool:
+    async def _await_input(self, connection: _Connection) -> bool:
         """Wait for a request's first bytes; false if there will be none."""
         channel = connection.channel
         if connection.has_input:
             return True
         if self._is_closing:
             return False
+        idle_since_ms = self._now_ms()
+        left_ms = self._limits().idle_timeout_ms
         self._idle_channels.add(channel)
         try:
-            data = await channel.receive(limits.idle_timeout_ms)
-        except (_channel.ChannelTimeout, _channel.ChannelReset):
-            return False
+            while left_ms > 0:
+                try:
+                    data = await channel.receive(left_ms)
+                except _channel.ChannelTimeout:
+                    # A longer time may have come into force meanwhile.
+                    idle_ms = self._now_ms() - idle_since_ms
+                    left_ms = self._limits().idle_timeout_ms - idle_ms
+                    continue
+                except _channel.ChannelReset:
+                    return False
+                if data:
+                    connection.http = self._parser()
+                    connection.phase = Phase.HEAD
+                    self._feed(connection.http, data)
+                return bool(data)
         finally:
             self._idle_channels.discard(channel)
-        if data:
-            connection.phase = Phase.HEAD
-            self._feed(connection.http, data)
-        return bool(data)
+        return False
 
     async def _next_event(
         self, connection: _Connection, timeout_ms: float
--- a/packages/gateway/tests/test_callers_connections.py
+++ b/packages/gateway/tests/test_callers_connections.py
@@ -95,6 +95,54 @@
         )
 
 
+class ChangedLimitsTest(unittest.TestCase):
+    """Guards against limits of an older configuration on kept connections."""
+
+    async def second_answer(
+        self, old: fleet.CallerLimits, pause_s: float, second: bytes
+    ) -> bytes:
+        """Change the limits to the default while a connection is idle."""
+        limits = [old]
+        async with connection(old, get_limits=lambda: limits[0]) as (
+            _,
+            reader,
+            writer,
+        ):
+            writer.write(REQUEST)
+            async with asyncio.timeout(WAIT_S):
+                await reader.readuntil(b"\r\n\r\n")
+                limits[0] = fleet.CallerLimits()
+                await asyncio.sleep(pause_s)
+                # A head that comes in one piece is never too large.
+                writer.write(second[:-5])
+                await asyncio.sleep(0.1)
+                writer.write(second[-5:])
+                return await reader.read(12)
+
+    def test_larger_head_is_accepted_on_a_kept_connection(self) -> None:
+        """The limit was that of the connection's start."""
+        head = REQUEST[:-2] + b"X-Filler: " + 300 * b"x" + b"\r\n\r\n"
+        old = fleet.CallerLimits(header_bytes=100)
+        self.assertEqual(
+            b"HTTP/1.1 200", asyncio.run(self.second_answer(old, 0.0, head))
+        )
+
+    def test_larger_body_is_accepted_on_a_kept_connection(self) -> None:
+        """The limit was that of the moment at which it became idle."""
+        body = POST_HEAD + b"Content-Length: 5\r\n\r\nabcde"
+        old = fleet.CallerLimits(body_bytes=2)
+        self.assertEqual(
+            b"HTTP/1.1 200", asyncio.run(self.second_answer(old, 0.0, body))
+        )
+
+    def test_longer_idle_time_holds_for_idle_connections(self) -> None:
+        """Callers rely on the newest limit at once."""
+        old = fleet.CallerLimits(idle_timeout_ms=200)
+        self.assertEqual(
+            b"HTTP/1.1 200", asyncio.run(self.second_answer(old, 0.5, REQUEST))
+        )
+
+
 class UnansweredTest(unittest.IsolatedAsyncioTestCase):
     """Guards against requests that end without an answer or a log line."""
 
