Read on after a rejection, so that the caller receives it

A caller whose body was too large saw a reset instead of 413: the connection was closed with unread input, upon which the kernel resets it and the caller loses the response.

The rest of a rejected request is now read and discarded for up to a second before the connection is closed.

Before the change, test_too_long_body_is_answered_while_it_comes ended with ConnectionResetError.

--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import enum
 import traceback
 import typing
@@ -34,6 +35,9 @@
     b"HTTP/1.1 500 Internal Server Error\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
+# Time for which the rest of a rejected request is read and discarded: closing
+# with unread input resets the connection, and the caller loses the response.
+LINGER_MS = 1_000
 
 
 @attrs.frozen
@@ -259,7 +263,7 @@
             self._report_dropped_input(connection)
             channel.close()
         except _Rejected as error:
-            self._reject(connection, error)
+            await self._reject(connection, error)
         except (_channel.ChannelReset, _channel.ChannelTimeout) as error:
             self._report(connection, str(error) or "timeout")
             channel.abort()
@@ -439,7 +443,7 @@
                 connection, "the previous request ended the connection"
             )
 
-    def _reject(
+    async def _reject(
         self,
         connection: _Connection,
         error: _Rejected,
@@ -460,6 +464,13 @@
             reason=_REASON_PHRASES.get(error.status, b""),
         )
         channel.write(http.send(response) or b"")
+        end_ms = self._now_ms() + LINGER_MS
+        with contextlib.suppress(
+            _channel.ChannelReset, _channel.ChannelTimeout
+        ):
+            while end_ms > self._now_ms():
+                if not await channel.receive(end_ms - self._now_ms()):
+                    break
         channel.close()
 
     def _end_unfinished(
--- a/packages/gateway/tests/test_callers_connections.py
+++ b/packages/gateway/tests/test_callers_connections.py
@@ -226,6 +226,17 @@
         self.assertEqual(_server.Phase.BODY, ended.phase)
         self.assertIsNotNone(ended.head)
 
+    async def test_too_long_body_is_answered_while_it_comes(self) -> None:
+        """Closing with unread input resets the connection."""
+        limits = fleet.CallerLimits(body_bytes=1_000)
+        size = 8 * 1024 * 1024
+        head = POST_HEAD + f"Content-Length: {size}\r\n\r\n".encode()
+        async with connection(limits) as (_, reader, writer):
+            writer.write(head + size * b"x")
+            async with asyncio.timeout(WAIT_S):
+                await asyncio.sleep(0.3)
+                self.assertEqual(b"HTTP/1.1 413", await reader.read(12))
+
 
 if __name__ == "__main__":
     unittest.main()
