Do not handle a request whose caller has left meanwhile

A caller's close cancels the handling of its request, but a close that was seen together with the last bytes of the request came before there was anything to cancel: the request was sent to a target for nobody.

The server now looks once more before it passes a request on.

Before the change, test_request_whose_caller_has_left_is_not_handled found the request handled.

--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -280,6 +280,9 @@
         """Handle a request; return whether the connection stays open."""
         channel, http = connection.channel, connection.http
         connection.phase = Phase.HANDLING
+        if channel.lost:
+            self._report(connection, "the caller has left")
+            return False
         responder = Responder(http, channel, lambda: self._is_draining)
         connection.responder = responder
         task = asyncio.current_task()
--- a/packages/gateway/tests/test_callers_connections.py
+++ b/packages/gateway/tests/test_callers_connections.py
@@ -226,6 +226,25 @@
         self.assertEqual(_server.Phase.BODY, ended.phase)
         self.assertIsNotNone(ended.head)
 
+    async def test_request_whose_caller_has_left_is_not_handled(self) -> None:
+        """The end of the connection came with the last bytes."""
+        handled = []
+
+        async def handler(
+            raw: _server.RawRequest, responder: _server.Responder
+        ) -> None:
+            handled.append(raw)
+            responder.send_response(200, [], b"")
+
+        async with connection(fleet.CallerLimits(), handler) as (server, _, _):
+            while not server._idle_channels:
+                await asyncio.sleep(0.01)
+            (channel,) = server._idle_channels
+            channel.data_received(REQUEST)
+            channel.connection_lost(None)
+            await asyncio.sleep(0.1)
+        self.assertEqual([], handled)
+
     async def test_too_long_body_is_answered_while_it_comes(self) -> None:
         """Closing with unread input resets the connection."""
         limits = fleet.CallerLimits(body_bytes=1_000)
