Answer pipelined requests of a connection at a stopping node

A node that stops closes each connection after its next response. A caller that had sent a second request behind the first one got no answer to it, though the node had read it.

The connection now closes after the response only if no further request has been received.

Before the change, test_second_request_of_a_pipeline_is_answered got one answer instead of two.

--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -283,7 +283,9 @@
         if channel.lost:
             self._report(connection, "the caller has left")
             return False
-        responder = Responder(http, channel, lambda: self._is_draining)
+        responder = Responder(
+            http, channel, lambda: self._closes_after_response(connection)
+        )
         connection.responder = responder
         task = asyncio.current_task()
         assert task is not None
@@ -302,7 +304,7 @@
             return False
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
-        if self._is_closing:
+        if self._closes_after_response(connection) and self._is_closing:
             return False
         rest = http.trailing_data[0]
         connection.http = self._parser()
@@ -312,6 +314,13 @@
             self._feed(connection.http, rest)
         return True
 
+    def _closes_after_response(self, connection: _Connection) -> bool:
+        """Tell whether the connection closes after the next response.
+
+        Another request that has been received is answered before that.
+        """
+        return self._is_draining and not connection.has_input
+
     async def _read_request(
         self, connection: _Connection
     ) -> RawRequest | None:
--- a/packages/gateway/tests/test_callers_connections.py
+++ b/packages/gateway/tests/test_callers_connections.py
@@ -94,6 +94,23 @@
             b"HTTP/1.1 200", asyncio.run(self.request_during_close())
         )
 
+    async def pipelined_during_drain(self) -> bytes:
+        """Send two requests at once to a node that stops."""
+        async with connection(fleet.CallerLimits()) as (
+            server,
+            reader,
+            writer,
+        ):
+            server.drain()
+            writer.write(2 * REQUEST)
+            async with asyncio.timeout(WAIT_S):
+                return await reader.read()
+
+    def test_second_request_of_a_pipeline_is_answered(self) -> None:
+        """It had been read when the first response closed the connection."""
+        answers = asyncio.run(self.pipelined_during_drain())
+        self.assertEqual(2, answers.count(b"HTTP/1.1 200"))
+
 
 class ChangedLimitsTest(unittest.TestCase):
     """Guards against limits of an older configuration on kept connections."""
