Refuse what a stopping node cannot end, and answer the rest in time

In a planned stop in calm, requests that came in late were passed on and cut half a second before the end of the grace, without an answer, among them requests that may not be repeated.

A stopping node took every request until idle connections were closed (3.2 s), whatever time it needed, and at the end cancelled all tasks, which aborts their connections.

The deadline of what it takes ends with the grace. Half a second before that end each request without a response gets one: 503 if no target has seen it, 504 otherwise.

--- a/packages/core/src/quetzalward_core/placing/__init__.py
+++ b/packages/core/src/quetzalward_core/placing/__init__.py
@@ -14,6 +14,7 @@
 from quetzalward_core.placing._cost import Load
 from quetzalward_core.placing._cost import pass_ms
 from quetzalward_core.placing._cost import Prompt
+from quetzalward_core.placing._cost import whole_answer_ms
 from quetzalward_core.placing._loads import GroupLoad
 from quetzalward_core.placing._loads import smoothed_slowness
 from quetzalward_core.placing._outcomes import choose_target
@@ -38,4 +39,5 @@
     "jittered_retry_after_ms",
     "pass_ms",
     "smoothed_slowness",
+    "whole_answer_ms",
 ]
--- a/packages/core/src/quetzalward_core/placing/_cost.py
+++ b/packages/core/src/quetzalward_core/placing/_cost.py
@@ -84,3 +84,12 @@
         + prefill
         + pass_ms(engine, model, running + 1)
     )
+
+
+def whole_answer_ms(
+    engine: fleet.Engine, model: fleet.Model, load: Load, prompt: Prompt
+) -> float:
+    """Return the time until the last event of the longest answer."""
+    return first_event_ms(
+        engine, model, load, prompt.prompt_tokens
+    ) + prompt.max_output_tokens * step_ms(engine, model, engine.slots)
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -5,6 +5,7 @@
 import signal
 
 from quetzalward_core import clock
+from quetzalward_core import draining
 from quetzalward_core import fleet
 from quetzalward_gateway import _coordinator_task
 from quetzalward_gateway import _exchange
@@ -20,11 +21,6 @@
 from quetzalward_gateway import _target_entries
 from quetzalward_gateway import _watched_store
 
-# Time within which the load balancer has seen two failed readiness checks and
-# stops sending new connections.
-BALANCER_REMOVAL_MS = 3_200
-# Time reserved before the process is killed to abort the remaining requests.
-EXIT_MARGIN_MS = 500
 # Interval at which a stopping node checks whether its requests have ended.
 _DRAIN_POLL_S = 0.05
 
@@ -167,24 +163,29 @@
         )
 
     async def _drain(self) -> None:
-        """Wait for requests in flight; abort those beyond the grace time."""
-        started_ms = self.runtime.now_ms()
+        """Answer the requests in flight, and end them with the grace time."""
+        drain = draining.Drain(
+            self.runtime.now_ms(), self._settings.bounds.grace_ms
+        )
+        self.runtime.drain = drain
         self._stopping = True
         self._callers.drain()
         self._coordinator.begin_leaving()
         self.runtime.log.event("draining", in_flight=self._callers.in_flight)
-        grace_ms = self._settings.bounds.grace_ms
-        end_ms = started_ms + grace_ms - EXIT_MARGIN_MS
-        removed_ms = started_ms + min(BALANCER_REMOVAL_MS, grace_ms // 2)
-        idle_closed = False
-        while self.runtime.now_ms() < end_ms:
+        idle_closed = answered = False
+        while self.runtime.now_ms() < drain.end_ms:
             await asyncio.sleep(_DRAIN_POLL_S)
-            if not idle_closed and self.runtime.now_ms() >= removed_ms:
+            now_ms = self.runtime.now_ms()
+            if not idle_closed and now_ms >= drain.removed_ms:
                 idle_closed = True
                 self._callers.close_idle()
+            if not answered and now_ms >= drain.answer_ms:
+                answered = True
+                self._callers.end_unanswered()
             if idle_closed and not self._callers.in_flight:
                 return
-        self._callers.abort_all()
+        self._callers.end_all()
+        await asyncio.sleep(_DRAIN_POLL_S)
 
 
 def run(settings: _settings.Settings, platform: _ports.Platform) -> None:
--- a/packages/gateway/src/quetzalward_gateway/_exchange.py
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -1,5 +1,6 @@
 """Admission of a caller's request and dispatch to its service."""
 
+import asyncio
 import traceback
 
 from quetzalward_core import errors
@@ -9,6 +10,7 @@
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _server
+from quetzalward_gateway import _stopping
 from quetzalward_gateway import _streaming
 
 # Deadline of a request whose headers state none.
@@ -37,10 +39,7 @@
         if isinstance(call, _runtime.Refused):
             _runtime.refuse(runtime, request, responder, call)
             return
-        if call.service.engine is not None:
-            await _streaming.StreamExchange(call).run()
-        else:
-            await _plain.run(call)
+        await _serve(call)
     except Exception as error:
         runtime.log.event(
             "internal_error",
@@ -53,6 +52,24 @@
             responder.send_response(status, [], b"")
 
 
+async def _serve(call: _runtime.Call) -> None:
+    """Serve an admitted request; answer it if the node ends it."""
+    calls = call.runtime.calls
+    calls.add(call)
+    try:
+        if call.service.engine is not None:
+            await _streaming.StreamExchange(call).run()
+        else:
+            await _plain.run(call)
+    except asyncio.CancelledError:
+        if not call.responder.is_open:
+            # The caller has left.
+            raise
+        _stopping.end(call)
+    finally:
+        calls.discard(call)
+
+
 def request_id(
     runtime: _runtime.Runtime,
     method: bytes,
@@ -108,7 +125,7 @@
     if timeout_ms is None:
         timeout_ms = DEFAULT_DEADLINE_MS
     timeout_ms = min(timeout_ms, route.timeout_ms or timeout_ms)
-    return _runtime.Call(
+    call = _runtime.Call(
         runtime,
         raw,
         request,
@@ -118,6 +135,9 @@
         customer,
         raw.received_ms + timeout_ms,
     )
+    if runtime.drain is not None:
+        return _stopping.admit(call, runtime.drain)
+    return call
 
 
 def _check_key(
--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -5,6 +5,7 @@
 import attrs
 
 from quetzalward_core import clock
+from quetzalward_core import draining
 from quetzalward_core import errors
 from quetzalward_core import fleet
 from quetzalward_core import limits
@@ -35,6 +36,10 @@
     log: _log.EventLog
     metrics: _metrics.Metrics
     store: _watched_store.WatchedStore
+    # Set once the node stops.
+    drain: draining.Drain | None = None
+    # The admitted requests that are under way.
+    calls: set["Call"] = attrs.field(factory=set)
 
     def now_ms(self) -> clock.Millis:
         """Return monotonic time in milliseconds."""
@@ -55,7 +60,7 @@
     retry_after_ms: clock.Millis | None = None
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Call:
     """An admitted request with its route and deadline."""
 
@@ -68,6 +73,8 @@
     customer: fleet.Customer | None
     # Monotonic time by which the caller must have the complete answer.
     deadline_ms: clock.Millis
+    # Whether a target may have received the request.
+    is_sent: bool = False
 
     def remaining_ms(self) -> clock.Millis:
         """Return the time until the deadline; negative after it."""
@@ -78,7 +85,8 @@
         target: fleet.Target,
         last_event_id: str | None,
     ) -> _http.Headers:
-        """Return the headers of the request as sent to a target."""
+        """Return the headers of the request that is now sent to a target."""
+        self.is_sent = True
         return self.runtime.platform.target_headers(
             self.request,
             target.id,
--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -198,6 +198,7 @@
         self._idle_channels: set[_channel.Channel] = set()
         self._is_draining = False
         self._is_closing = False
+        self._is_ending = False
 
     async def start(self, address: fleet.Address) -> None:
         """Start listening on an address."""
@@ -228,8 +229,16 @@
             if not channel.has_input:
                 channel.close()
 
-    def abort_all(self) -> None:
-        """Cancel the tasks of all connections."""
+    def end_unanswered(self) -> None:
+        """End the requests without a response; each gets a status."""
+        self._is_ending = self._is_closing = True
+        for task, connection in list(self._connection_by_task.items()):
+            if not connection.has_response:
+                task.cancel()
+
+    def end_all(self) -> None:
+        """End all requests."""
+        self._is_ending = self._is_closing = True
         for task in list(self._connection_by_task):
             task.cancel()
 
@@ -267,6 +276,13 @@
         except (_channel.ChannelReset, _channel.ChannelTimeout) as error:
             self._report(connection, str(error) or "timeout")
             channel.abort()
+        except asyncio.CancelledError:
+            if channel.lost:
+                raise
+            if connection.phase is not Phase.IDLE or connection.has_input:
+                await self._reject(
+                    connection, _Rejected(503, "the node has ended"), 0
+                )
         except Exception:
             self._end_failed(connection)
         finally:
@@ -319,6 +335,8 @@
 
         Another request that has been received is answered before that.
         """
+        if self._is_ending:
+            return True
         return self._is_draining and not connection.has_input
 
     async def _read_request(
@@ -459,6 +477,7 @@
         self,
         connection: _Connection,
         error: _Rejected,
+        linger_ms: clock.Millis = LINGER_MS,
     ) -> None:
         """Answer a request that is not passed to the handler."""
         http, channel = connection.http, connection.channel
@@ -476,7 +495,7 @@
             reason=_REASON_PHRASES.get(error.status, b""),
         )
         channel.write(http.send(response) or b"")
-        end_ms = self._now_ms() + LINGER_MS
+        end_ms = self._now_ms() + linger_ms
         with contextlib.suppress(
             _channel.ChannelReset, _channel.ChannelTimeout
         ):
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -162,6 +162,7 @@
     state: _state.NodeState = attrs.field(
         factory=lambda: _state.NodeState(settings(), random.Random(1))
     )
+    calls: set[typing.Any] = attrs.field(factory=set)
     _store: _watched_store.WatchedStore | None = None
 
     def now_ms(self) -> clock.Millis:
@@ -197,7 +198,7 @@
 
     def __init__(self) -> None:
         """Start without a response."""
-        self.started = self.finished = False
+        self.started = self.finished = self.aborted = False
         self.status: int | None = None
         self.body = b""
 
@@ -221,6 +222,10 @@
         """Record that the response is complete."""
         self.finished = True
 
+    def abort(self) -> None:
+        """Record that the response was aborted."""
+        self.aborted = True
+
 
 class Call:
     """Replaces `_runtime.Call` for a stream whose prompt has one part."""
@@ -241,6 +246,7 @@
             1, {"s": 1.0}, 1, False, False,
         )  # fmt: skip
         self.deadline_ms = self.runtime.now_ms() + 5_000
+        self.is_sent = False
         self.refusals: list[errors.ErrorKind] = []
         self.limits: list[limits.LimitNotice | None] = []
 
--- a/packages/gateway/tests/test_callers_connections.py
+++ b/packages/gateway/tests/test_callers_connections.py
@@ -111,6 +111,64 @@
         answers = asyncio.run(self.pipelined_during_drain())
         self.assertEqual(2, answers.count(b"HTTP/1.1 200"))
 
+    async def end_during_body(self) -> bytes:
+        """End the node while a body is still coming."""
+        async with connection(fleet.CallerLimits()) as (
+            server,
+            reader,
+            writer,
+        ):
+            writer.write(POST_HEAD + b"Content-Length: 9\r\n\r\nabc")
+            await asyncio.sleep(0.1)
+            server.end_unanswered()
+            async with asyncio.timeout(WAIT_S):
+                return await reader.read(12)
+
+    def test_request_that_is_still_read_is_refused(self) -> None:
+        """It certainly has not run."""
+        self.assertEqual(b"HTTP/1.1 503", asyncio.run(self.end_during_body()))
+
+    async def end_with_input(self) -> bytes:
+        """End the node when a request has just come in."""
+        async with connection(fleet.CallerLimits()) as (server, reader, _):
+            while not server._idle_channels:
+                await asyncio.sleep(0.01)
+            (channel,) = server._idle_channels
+            channel.data_received(REQUEST)
+            server.end_unanswered()
+            async with asyncio.timeout(WAIT_S):
+                return await reader.read(12)
+
+    def test_request_that_comes_at_the_end_is_refused(self) -> None:
+        """Its connection still counts as idle."""
+        self.assertEqual(b"HTTP/1.1 503", asyncio.run(self.end_with_input()))
+
+    async def end_during_handling(self) -> bytes:
+        """End the requests without a response while a stream goes on."""
+
+        async def stream(
+            raw: _server.RawRequest, responder: _server.Responder
+        ) -> None:
+            responder.start_stream(200, [])
+            await asyncio.sleep(0.3)
+            responder.finish()
+
+        async with connection(fleet.CallerLimits(), stream) as (
+            server,
+            reader,
+            writer,
+        ):
+            writer.write(REQUEST)
+            await asyncio.sleep(0.1)
+            server.end_unanswered()
+            async with asyncio.timeout(WAIT_S):
+                return await reader.read()
+
+    def test_stream_goes_on_while_others_are_answered(self) -> None:
+        """A stream can only be cut, and has until the very end."""
+        received = asyncio.run(self.end_during_handling())
+        self.assertTrue(received.endswith(b"0\r\n\r\n"), received)
+
 
 class ChangedLimitsTest(unittest.TestCase):
     """Guards against limits of an older configuration on kept connections."""
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -87,6 +87,7 @@
         # When the drain or removal of a target was written to the store.
         self.departure_s_by_id: dict[str, float] = {}
         self.token_interval_s = 0.03
+        self.plain_service_s = 0.01
         self.stream_faults = _streams.StreamFaults()
         self.limits = _limits.NamedLimits()
         self.crashes: list[Crash] = []
@@ -293,7 +294,7 @@
         self, target_id: str, request: _http.Request, reply: _http.Reply
     ) -> None:
         attempt_id = self._record_execution(target_id, request)
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(self.plain_service_s)
         headers = {
             _streams.REPLICA_SEAL_HEADER: "s",
             "Quetzalward-Attempt-Id": attempt_id,
