--- a/packages/bench/src/quetzalward_bench/soak/_nodes.py
+++ b/packages/bench/src/quetzalward_bench/soak/_nodes.py
@@ -135,13 +135,16 @@
             self._process.wait()
         self.proxy.close()
 
-    def errors(self) -> list[str]:
-        """Return the log lines that report internal errors."""
+    def log_lines(self) -> list[str]:
+        """Return the lines that the process has logged."""
         if not self._log.exists():
             return []
-        lines = self._log.read_text(errors="replace").splitlines()
+        return self._log.read_text(errors="replace").splitlines()
+
+    def errors(self) -> list[str]:
+        """Return the log lines that report internal errors."""
         return [
             line
-            for line in lines
+            for line in self.log_lines()
             if "internal_error" in line or "Traceback" in line
         ]
