--- a/packages/gateway/src/quetzalward_gateway/_exchange.py
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -1,13 +1,16 @@
 """Admission of a caller's request and dispatch to its service."""
 
+import asyncio
 import traceback
 
 from quetzalward_core import errors
 from quetzalward_core import fleet
+from quetzalward_gateway import _http
 from quetzalward_gateway import _plain
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _server
+from quetzalward_gateway import _stopping
 from quetzalward_gateway import _streaming
 
 # Deadline of a request whose headers state none.
@@ -28,33 +31,57 @@
     the status of an internal error unless a response has been started.
     """
     try:
-        await _handle(runtime, raw, responder)
+        request = runtime.platform.decode_request(
+            raw.method, raw.target, raw.headers
+        )
+        runtime.state.request_count += 1
+        call = _admit(runtime, raw, request, responder)
+        if isinstance(call, _runtime.Refused):
+            _runtime.refuse(runtime, request, responder, call)
+            return
+        await _serve(call)
     except Exception as error:
         runtime.log.event(
-            "internal_error", reason=traceback.format_exc(), error=repr(error)
+            "internal_error",
+            request=request_id(runtime, raw.method, raw.target, raw.headers),
+            reason=traceback.format_exc(),
+            error=repr(error),
         )
         if not responder.started:
             status = errors.PROBLEM_TYPES[errors.ErrorKind.INTERNAL].status
             responder.send_response(status, [], b"")
 
 
-async def _handle(
+async def _serve(call: _runtime.Call) -> None:
+    """Serve an admitted request; answer it if the node ends it."""
+    calls = call.runtime.calls
+    calls.add(call)
+    try:
+        if call.service.engine is not None:
+            await _streaming.StreamExchange(call).run()
+        else:
+            await _plain.run(call)
+    except asyncio.CancelledError:
+        if not call.responder.is_open:
+            # The caller has left.
+            raise
+        _stopping.end(call)
+    finally:
+        calls.discard(call)
+
+
+def request_id(
     runtime: _runtime.Runtime,
-    raw: _server.RawRequest,
-    responder: _server.Responder,
-) -> None:
-    request = runtime.platform.decode_request(
-        raw.method, raw.target, raw.headers
-    )
-    runtime.state.request_count += 1
-    call = _admit(runtime, raw, request, responder)
-    if isinstance(call, _runtime.Refused):
-        _runtime.refuse(runtime, request, responder, call)
-        return
-    if call.service.engine is not None:
-        await _streaming.StreamExchange(call).run()
-    else:
-        await _plain.run(call)
+    method: bytes,
+    target: bytes,
+    headers: _http.Headers,
+) -> str | None:
+    """Return the id of a request, `None` if it cannot be decoded."""
+    try:
+        request = runtime.platform.decode_request(method, target, headers)
+    except Exception:
+        return None
+    return request.attempt_id.decode("latin-1")
 
 
 def _admit(
@@ -98,7 +125,7 @@
     if timeout_ms is None:
         timeout_ms = DEFAULT_DEADLINE_MS
     timeout_ms = min(timeout_ms, route.timeout_ms or timeout_ms)
-    return _runtime.Call(
+    call = _runtime.Call(
         runtime,
         raw,
         request,
@@ -108,6 +135,9 @@
         customer,
         raw.received_ms + timeout_ms,
     )
+    if runtime.drain is not None:
+        return _stopping.admit(call, runtime.drain)
+    return call
 
 
 def _check_key(
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -162,6 +162,7 @@
     state: _state.NodeState = attrs.field(
         factory=lambda: _state.NodeState(settings(), random.Random(1))
     )
+    calls: set[typing.Any] = attrs.field(factory=set)
     _store: _watched_store.WatchedStore | None = None
 
     def now_ms(self) -> clock.Millis:
@@ -222,7 +223,7 @@
         self.finished = True
 
     def abort(self) -> None:
-        """Record that the response was broken off."""
+        """Record that the response was aborted."""
         self.aborted = True
 
 
@@ -245,6 +246,7 @@
             1, {"s": 1.0}, 1, False, False,
         )  # fmt: skip
         self.deadline_ms = self.runtime.now_ms() + 5_000
+        self.is_sent = False
         self.refusals: list[errors.ErrorKind] = []
         self.limits: list[limits.LimitNotice | None] = []
 
