Decode Server-Leaving and Retry-After of targets' answers

Cause: the adapter read neither header of a target's answer.

Change: TargetAnswer carries a TargetNotice.

--- a/packages/gateway/src/quetzalward_gateway/_ports.py
+++ b/packages/gateway/src/quetzalward_gateway/_ports.py
@@ -11,6 +11,7 @@
 from quetzalward_core import fleet
 from quetzalward_core import grouping
 from quetzalward_core import limits
+from quetzalward_core import notices
 from quetzalward_core import placing
 from quetzalward_gateway import _http
 
@@ -132,6 +133,7 @@
     limit: limits.LimitNotice | None
     # Headers to forward to the caller, without hop-by-hop headers.
     forwarded: _http.Headers
+    notice: notices.TargetNotice = notices.TargetNotice()
 
 
 @attrs.frozen
@@ -191,6 +193,9 @@
     def decode_answer(self, head: _http.ResponseHead) -> TargetAnswer:
         """Decode the head of a target's answer."""
 
+    def decode_notice(self, headers: _http.Headers) -> notices.TargetNotice:
+        """Decode what a target's answer says of it, apart from its limit."""
+
     def refusal_headers(
         self, request: CallerRequest, retry_after_ms: clock.Millis | None
     ) -> _http.Headers:
