Send nothing to targets that say that they leave or rest

Cause: no answer of a target but its limit was read. A node went on to send to a target that had said Server-Leaving until its entry drained, and to one that had refused with 503 and Retry-After at once.

Change: answers and reports record both notices; unreadable and too long ones get a log line. Every choice of a target, and a check right before the request is sent, ask NodeState.admits, which also knows drains and evacuations. If all targets are refused, callers are too, at once, with the earliest end of a rest and a spread beyond it; no permit and no retry is spent on them. The coordinator sees a target that leaves as draining. An answer counts only if it is the target's own: not with status 421 or the id of another attempt; leaving also needs a seal or a refusal, as it ends only with the target; a rest needs status 503.

--- a/packages/core/src/quetzalward_core/placing/__init__.py
+++ b/packages/core/src/quetzalward_core/placing/__init__.py
@@ -10,6 +10,7 @@
 from quetzalward_core.placing._choice import MIN_RETRY_AFTER_MS
 from quetzalward_core.placing._choice import Placement
 from quetzalward_core.placing._choice import Refusal
+from quetzalward_core.placing._choice import spread_retry_after_ms
 from quetzalward_core.placing._cost import first_event_ms
 from quetzalward_core.placing._cost import Load
 from quetzalward_core.placing._cost import pass_ms
@@ -36,6 +37,7 @@
     "choose_target",
     "first_event_ms",
     "jittered_retry_after_ms",
+    "spread_retry_after_ms",
     "pass_ms",
     "smoothed_slowness",
 ]
--- a/packages/core/src/quetzalward_core/placing/_choice.py
+++ b/packages/core/src/quetzalward_core/placing/_choice.py
@@ -149,6 +149,17 @@
     return [max(0.0, level - value) for value in levels]
 
 
+def spread_retry_after_ms(
+    wait_ms: clock.Millis, rng: random.Random
+) -> clock.Millis:
+    """Return a Retry-After that is never earlier than the wait is over.
+
+    It spreads the return of the callers, by `MAX_RETRY_AFTER_MS` at most.
+    """
+    spread_ms = rng.random() * min(wait_ms, MAX_RETRY_AFTER_MS)
+    return max(MIN_RETRY_AFTER_MS, math.ceil(wait_ms + spread_ms))
+
+
 def jittered_retry_after_ms(
     wait_ms: float, rng: random.Random
 ) -> clock.Millis:
--- a/packages/gateway/src/quetzalward_gateway/_attempts.py
+++ b/packages/gateway/src/quetzalward_gateway/_attempts.py
@@ -5,6 +5,7 @@
 import attrs
 
 from quetzalward_core import limits
+from quetzalward_core import notices
 from quetzalward_gateway import _ports
 
 # Within a region a connection takes a few milliseconds to open; waiting for
@@ -78,6 +79,28 @@
     return answer.limit
 
 
+def target_notice(
+    request: _ports.CallerRequest, answer: _ports.TargetAnswer
+) -> notices.TargetNotice | None:
+    """Return what an answer says of its target, if it is the target's own.
+
+    Another target may answer at a reused address. A target that leaves does
+    so for good, so that only its own answer may say it: a sealed one, or a
+    refusal. A rest ends by itself and is believed without a seal; only a 503
+    can ask for it.
+    """
+    if answer.attempt_id not in (None, request.attempt_id):
+        return None
+    if answer.status == 421:
+        return None
+    notice = answer.notice
+    if not answer.sealed and not answer.not_executed:
+        notice = attrs.evolve(notice, is_leaving=False)
+    if answer.status != 503:
+        notice = attrs.evolve(notice, rest_ms=None)
+    return notice
+
+
 def check_response_head(
     request: _ports.CallerRequest, answer: _ports.TargetAnswer
 ) -> Attempt | None:
--- a/packages/gateway/src/quetzalward_gateway/_commands.py
+++ b/packages/gateway/src/quetzalward_gateway/_commands.py
@@ -61,6 +61,18 @@
                 reuse=False,
             )
             report = runtime.platform.decode_report(answer)
+            if report is not None:
+                # A report has no seal, but names the target's start. It
+                # turns no request away, so that it asks for no rest.
+                _runtime.observe_notice(
+                    runtime,
+                    (command.target_id, report.born_ms),
+                    attrs.evolve(
+                        runtime.platform.decode_notice(answer.headers),
+                        rest_ms=None,
+                    ),
+                    source="report",
+                )
         except _http.CallFailed as error:
             runtime.log.event(
                 "report_missing", target=command.target_id, reason=str(error)
--- a/packages/gateway/src/quetzalward_gateway/_group_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_group_control.py
@@ -139,7 +139,8 @@
         present = set()
         for target in self._runtime.state.directory.of_service(service):
             present.add(target.id)
-            coordinator.observe(target, now_ms)
+            drained = self._runtime.state.notices.drained(target)
+            coordinator.observe(drained, now_ms)
         for target_id in coordinator.host_by_id.keys() - present:
             coordinator.remove_target(target_id)
 
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -147,6 +147,10 @@
         outcomes.mark_unreachable(target.id, runtime.now_ms())
         call.log_event("unreachable", target=target.id, reason=repr(error))
         return _Attempt(_Result.UNREACHABLE, "connection to the target failed")
+    withheld = call.withheld(target)
+    if withheld is not None:
+        channel.abort()
+        return withheld
     outcomes.started(target.id)
     try:
         attempt = await _exchange(call, target, channel, executed_attempts)
@@ -192,7 +196,7 @@
         head = await http.read_head(attempt_deadline_ms - now_ms())
         answer = call.runtime.platform.decode_answer(head)
         pool = _admission.pool_of(call.service)
-        call.observe_limit(target, pool, answer, sent_ms)
+        call.observe_answer(target, pool, answer, sent_ms)
         body = await http.read_body(lambda: attempt_deadline_ms - now_ms())
     except _channel.ChannelTimeout:
         if call.remaining_ms() > MIN_REMAINING_MS:
--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -8,6 +8,7 @@
 from quetzalward_core import errors
 from quetzalward_core import fleet
 from quetzalward_core import limits
+from quetzalward_core import notices
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _http
 from quetzalward_gateway import _log
@@ -103,7 +104,45 @@
             runtime.now_ms()
         )
 
-    def observe_limit(
+    def withheld(self, target: fleet.Target) -> _attempts.Attempt | None:
+        """Return a failed attempt if a target no longer takes requests.
+
+        That may change while a connection is opened.
+        """
+        state = self.runtime.state
+        verdict = state.admits_now(target, self.runtime.now_ms())
+        if isinstance(verdict, notices.Allowed):
+            return None
+        return _attempts.Attempt(
+            _attempts.Result.UNREACHABLE,
+            f"nothing was sent, as the target is {verdict.reason.value}",
+        )
+
+    def observe_answer(
+        self,
+        target: fleet.Target,
+        pool: limits.PoolKey,
+        answer: _ports.TargetAnswer,
+        sent_ms: clock.Millis,
+    ) -> None:
+        """Record what a target's answer says of the target.
+
+        `sent_ms` is when the request was sent.
+        """
+        self._observe_limit(target, pool, answer, sent_ms)
+        notice = _attempts.target_notice(self.request, answer)
+        if notice is not None:
+            observe_notice(
+                self.runtime,
+                target.key,
+                notice,
+                source="answer",
+                request=self.request.attempt_id.decode("latin-1"),
+                status=answer.status,
+                sent_age_ms=self.runtime.now_ms() - sent_ms,
+            )
+
+    def _observe_limit(
         self,
         target: fleet.Target,
         pool: limits.PoolKey,
@@ -148,6 +187,40 @@
         )
 
 
+def observe_notice(
+    runtime: Runtime,
+    key: limits.TargetKey,
+    notice: notices.TargetNotice,
+    **fields: object,
+) -> None:
+    """Record and log what a target says of itself, apart from its limit."""
+    target_id, born_ms = key
+    known, now_ms = runtime.state.notices, runtime.now_ms()
+    if notice.is_leaving and known.observe_leaving(key):
+        runtime.log.event(
+            "target_leaving", target=target_id, born_ms=born_ms, **fields
+        )
+    unreadable = list(notice.unreadable)
+    if notice.rest_ms is not None:
+        if notice.rest_ms > notices.MAX_REST_MS:
+            unreadable.append(f"rest of {notice.rest_ms} ms")
+        elif known.observe_rest(key, notice.rest_ms, now_ms):
+            runtime.log.event(
+                "target_resting",
+                target=target_id,
+                born_ms=born_ms,
+                rest_ms=notice.rest_ms,
+                **fields,
+            )
+    if unreadable:
+        runtime.log.event(
+            "notice_unreadable",
+            target=target_id,
+            headers=unreadable,
+            **fields,
+        )
+
+
 def refuse(
     runtime: Runtime,
     request: _ports.CallerRequest,
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -11,6 +11,7 @@
 from quetzalward_core import fleet
 from quetzalward_core import grouping
 from quetzalward_core import limits
+from quetzalward_core import notices
 from quetzalward_core import placing
 from quetzalward_core import quarantine
 from quetzalward_gateway import _admission
@@ -85,6 +86,7 @@
         self.admission = _admission.TargetAdmission(
             settings, self.directory, self.target_limits
         )
+        self.notices = notices.TargetNotices()
         self._retry_budget_by_service: dict[str, placing.RetryBudget] = {}
         self.load_by_group: dict[GroupKey, placing.GroupLoad] = {}
         # The holder's group list, the term that numbers its versions, and the
@@ -168,9 +170,54 @@
             return None
         return self.configuration.service_by_name.get(name)
 
-    def is_usable(self, target: fleet.Target) -> bool:
+    def admits(
+        self, target: fleet.Target, now_ms: clock.Millis
+    ) -> notices.Verdict:
         """Tell whether a target may receive new requests."""
-        return not target.draining and target.zone not in self.evacuated_zones
+        return self.notices.admits(target, self.evacuated_zones, now_ms)
+
+    def admits_now(
+        self, target: fleet.Target, now_ms: clock.Millis
+    ) -> notices.Verdict:
+        """Tell whether a target that was chosen before is still admitted.
+
+        Its entry may have changed since.
+        """
+        entry = self.directory.get(target.id)
+        if entry is None or entry.key != target.key:
+            entry = target
+        return self.admits(entry, now_ms)
+
+    def is_usable(self, target: fleet.Target, now_ms: clock.Millis) -> bool:
+        """Tell whether a target may receive new requests."""
+        return isinstance(self.admits(target, now_ms), notices.Allowed)
+
+    def _refusal_if_none_admitted(
+        self, targets: typing.Iterable[fleet.Target], now_ms: clock.Millis
+    ) -> placing.Refusal | None:
+        """Return a refusal until one of the targets takes requests again.
+
+        Returns `None` if one takes them now, or there are no targets.
+        """
+        verdicts = [self.admits(target, now_ms) for target in targets]
+        reasons = sorted(
+            {
+                v.reason.value
+                for v in verdicts
+                if isinstance(v, notices.Refused)
+            }
+        )
+        if not reasons or notices.Allowed() in verdicts:
+            return None
+        retry_after_ms = placing.MIN_RETRY_AFTER_MS
+        end_ms = notices.rest_end_ms(verdicts)
+        if end_ms is not None:
+            retry_after_ms = placing.spread_retry_after_ms(
+                end_ms - now_ms, self._rng
+            )
+        return placing.Refusal(
+            f"all targets are {' or '.join(reasons)}", retry_after_ms
+        )
 
     def message_interval_ms(self) -> float:
         """Return the interval between messages of one node."""
@@ -266,12 +313,22 @@
         self, service: str, model: str, now_ms: clock.Millis
     ) -> list[OpenGroup]:
         """Return the groups of a model that accept requests."""
+        return [
+            group
+            for group in self._listed_groups(service, model, now_ms)
+            if self.is_usable(group.head, now_ms)
+        ]
+
+    def _listed_groups(
+        self, service: str, model: str, now_ms: clock.Millis
+    ) -> list[OpenGroup]:
+        """Return the groups of a model that are open as such."""
         groups = []
         for entry in self._open_entries(service, now_ms):
             if entry.model != model:
                 continue
             head = self.directory.get(entry.head)
-            if head is not None and self.is_usable(head):
+            if head is not None:
                 groups.append(OpenGroup(entry, head))
         return groups
 
@@ -351,6 +408,13 @@
         ]
         if usable and not groups:
             return _admission.LIMITED
+        if not groups:
+            listed = self._listed_groups(service.name, model.name, now_ms)
+            refusal = self._refusal_if_none_admitted(
+                (g.head for g in listed), now_ms
+            )
+            if refusal is not None:
+                return refusal
         # A silent group whose members are being probed is better than none.
         responsive = [
             g for g in groups if not self.load_of(g.key).check_requested
@@ -434,7 +498,7 @@
         usable = [
             target
             for target in self.directory.of_service(service.name)
-            if self.is_usable(target)
+            if self.is_usable(target, now_ms)
             and target.id not in tried
             and self.admission.tolerates_cold(
                 service, target, self.node_count, now_ms
@@ -447,6 +511,12 @@
         ]
         if usable and not candidates:
             return _admission.LIMITED
+        if not candidates:
+            refusal = self._refusal_if_none_admitted(
+                self.directory.of_service(service.name), now_ms
+            )
+            if refusal is not None:
+                return refusal
         chosen = placing.choose_target(
             self.outcomes,
             candidates,
@@ -558,3 +628,7 @@
         """Drop the statistics of targets that no longer exist."""
         self.outcomes.retain({target.id for target in self.directory.all()})
         self.admission.forget_gone(now_ms)
+        self.notices.forget_gone(
+            {target.id: target.born_ms for target in self.directory.all()},
+            now_ms,
+        )
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -131,6 +131,9 @@
     async def _relay(self, channel: _channel.Channel) -> _Attempt:
         """Send the request and forward the events of its response."""
         call = self._call
+        withheld = call.withheld(self._place.group.head)
+        if withheld is not None:
+            return withheld
         http = _http.ClientCall(channel)
         last_event_id = self._progress.sequence.last_id
         sent_ms = call.runtime.now_ms()
@@ -145,7 +148,7 @@
             if isinstance(head, _Attempt):
                 return head
             answer = call.runtime.platform.decode_answer(head)
-            call.observe_limit(
+            call.observe_answer(
                 self._place.group.head, self._place.pool, answer, sent_ms
             )
             failed_attempt = _attempts.check_response_head(
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -10,6 +10,8 @@
 from quetzalward_core import errors
 from quetzalward_core import fleet
 from quetzalward_core import limits
+from quetzalward_core import notices
+from quetzalward_gateway import _attempts
 from quetzalward_gateway import _http
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _ports
@@ -126,6 +128,26 @@
             False,
             limits.LimitNotice(None),
             [],
+            self.decode_notice(head.headers),
+        )
+
+    def decode_notice(self, headers: _http.Headers) -> notices.TargetNotice:
+        """Return what well-formed headers say."""
+        by_name = dict(headers)
+        seconds = by_name.get(b"retry-after")
+        return notices.TargetNotice(
+            b"server-leaving" in by_name,
+            None if seconds is None else int(1_000 * float(seconds)),
+        )
+
+    def probe_request(self) -> tuple[str, str]:
+        """Return the request for a report."""
+        return "GET", "/report"
+
+    def decode_report(self, answer: _http.Response) -> fleet.TargetReport:
+        """Return the report of a target whose body is its start."""
+        return fleet.TargetReport(
+            int(answer.body), (), None, False, 0, 0, 0, 1.0
         )
 
     def decode_target(self, record: _ports.Record) -> fleet.Target | None:
@@ -259,15 +281,24 @@
         """Keep the kind of a refusal."""
         self.refusals.append(refused.kind)
 
-    def observe_limit(
+    def withheld(self, target: fleet.Target) -> _attempts.Attempt | None:
+        """Ask the node's state, as the original does."""
+        return _runtime.Call.withheld(typing.cast(typing.Any, self), target)
+
+    def observe_answer(
         self,
         target: fleet.Target,
         pool: limits.PoolKey,
         answer: _ports.TargetAnswer,
         sent_ms: clock.Millis,
     ) -> None:
-        """Keep what answers say of limits."""
+        """Keep what answers say of limits, and record notices."""
         self.limits.append(answer.limit)
+        notice = _attempts.target_notice(self.request, answer)
+        if notice is not None:
+            _runtime.observe_notice(
+                typing.cast(typing.Any, self.runtime), target.key, notice
+            )
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
         """Record an event."""
