Count a refusal that asks for rest as no failure of the target

Cause: each 503 with Retry-After entered the failure rate of its target, at all nodes. One that had rested for 4 s got no request in the 4 s after it.

Change: while a target rests, NodeState.observe_outcome records no failures of it; the rest itself already keeps requests away.

--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -192,6 +192,16 @@
         """Tell whether a target may receive new requests."""
         return isinstance(self.admits(target, now_ms), notices.Allowed)
 
+    def _is_resting(self, target_id: str, now_ms: clock.Millis) -> bool:
+        entry = self.directory.get(target_id)
+        if entry is None:
+            return False
+        verdict = self.admits(entry, now_ms)
+        return (
+            isinstance(verdict, notices.Refused)
+            and verdict.reason is notices.Reason.RESTING
+        )
+
     def _refusal_if_none_admitted(
         self, targets: typing.Iterable[fleet.Target], now_ms: clock.Millis
     ) -> placing.Refusal | None:
@@ -556,8 +566,11 @@
     ) -> None:
         """Record the result of a request to a target outside groups.
 
-        It is also reported to the other nodes.
+        It is also reported to the other nodes. A target that rests did not
+        fail: it is known when it serves again.
         """
+        if not ok and self._is_resting(target_id, now_ms):
+            return
         self.outcomes.observe(target_id, ok, latency_ms, now_ms)
         row = self._unreported_outcomes.setdefault(target_id, [0, 0, 0.0])
         row[0] += 1
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -32,6 +32,8 @@
 
 NOW_MS = 100_000
 POOL = ("s", "")
+# That of a target without answers.
+LATENCY_MS = 60.0
 SERVICE = fleet.Service("s", "/", 0, 0.0)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 REST = (
@@ -269,6 +271,16 @@
         spend.assert_not_called()
         self.assertEqual(1, self.requests)
 
+    async def test_rest_does_not_count_as_a_failure(self) -> None:
+        """A target would get no requests long after its rest."""
+        self.answer = REST
+        await self.send()
+        state = self.runtime.state
+        cost_ms = state.outcomes.cost_ms("t1", 1, 1, self.runtime.now_ms())
+        self.assertLess(cost_ms, 2 * LATENCY_MS)
+        status = state.take_status(1, coordination.Known(), 0, 0)
+        self.assertEqual((), status.outcomes)
+
     async def test_nothing_follows_an_answer_that_says_leaving(self) -> None:
         """The answer itself reaches its caller."""
         self.answer = LEAVING
