Stand-in targets say that they leave or rest, and check what follows

Cause: no stand-in sent Server-Leaving or Retry-After, so that no test could see a request that breaks either rule.

Change: targets send both, reports included, and record who reached them; the check knows which node took each attempt from the callers, and excuses restarts, freezes and cuts. Functional tests run it before real gateways.

--- a/packages/bench/src/quetzalward_bench/soak/_callers.py
+++ b/packages/bench/src/quetzalward_bench/soak/_callers.py
@@ -10,6 +10,7 @@
 from quetzalward_bench.soak import _prompts
 from quetzalward_core import fleet
 import quetzalward_gateway as gateway
+from quetzalward_standins import platform
 from quetzalward_standins.platform import _operator
 
 REQUEST_DEADLINE_MS = 6_000
@@ -29,6 +30,8 @@
     key: str
     sent_s: float
     prompt: _prompts.Prompt | None = None
+    # The node that took it, by its port.
+    port: int = 0
 
 
 @attrs.define
@@ -47,6 +50,13 @@
         factory=lambda: collections.deque(maxlen=2_000)
     )
 
+    def senders(self) -> dict[str, platform.Sender]:
+        """Return the node that took each attempt."""
+        return {
+            attempt_id: platform.Sender(str(sent.port), sent.sent_s)
+            for attempt_id, sent in self.sent_by_id.items()
+        }
+
     def success_share(self, since_s: float, kind: str) -> float | None:
         """Return the share of successes since a time.
 
@@ -99,7 +109,6 @@
         sent = SentAttempt(
             attempt_id, kind, tenant, key, time.monotonic(), prompt
         )
-        self._outcomes.sent_by_id[attempt_id] = sent
         event_count = self._rng.randint(5, 25)
         headers = [
             (b"host", _operator.HOST.encode()),
@@ -119,6 +128,8 @@
             tokens = f"200,{event_count}".encode()
             headers.append((b"quetzalward-token-count", tokens))
         port = self._rng.choice(self._ports)
+        sent = attrs.evolve(sent, port=port)
+        self._outcomes.sent_by_id[attempt_id] = sent
         method = "GET" if kind == "stock" else "POST"
         body = b"x" * self._rng.choice((0, 40, 5_000))
         if method == "GET":
--- a/packages/standins/src/quetzalward_standins/platform/__init__.py
+++ b/packages/standins/src/quetzalward_standins/platform/__init__.py
@@ -4,6 +4,9 @@
 from quetzalward_standins.platform._http import Request
 from quetzalward_standins.platform._http import Server
 from quetzalward_standins.platform._limits import Period
+from quetzalward_standins.platform._notices import Outage
+from quetzalward_standins.platform._notices import Sender
+from quetzalward_standins.platform._notices import TargetNotices
 from quetzalward_standins.platform._operator import Operator
 from quetzalward_standins.platform._proxy import Proxy
 from quetzalward_standins.platform._proxy import ProxyMode
@@ -16,12 +19,15 @@
     "Crash",
     "Execution",
     "Operator",
+    "Outage",
     "Period",
     "Proxy",
     "ProxyMode",
     "Reply",
     "Request",
+    "Sender",
     "Server",
     "Store",
+    "TargetNotices",
     "Targets",
 ]
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -17,6 +17,7 @@
 from quetzalward_standins import group_targets
 from quetzalward_standins.platform import _http
 from quetzalward_standins.platform import _limits
+from quetzalward_standins.platform import _notices
 from quetzalward_standins.platform import _store
 from quetzalward_standins.platform import _streams
 
@@ -89,6 +90,7 @@
         self.token_interval_s = 0.03
         self.stream_faults = _streams.StreamFaults()
         self.limits = _limits.NamedLimits()
+        self.notices = _notices.TargetNotices()
         self.crashes: list[Crash] = []
         self._restarts: set[asyncio.Task[None]] = set()
         self._rng = rng
@@ -209,6 +211,7 @@
     def kill(self, target_id: str) -> None:
         """Stop a target and reset its connections."""
         self.limits.end(target_id)
+        self.notices.end(target_id)
         if target_id in self.plain_by_id:
             self.plain_by_id[target_id].alive = False
         else:
@@ -238,7 +241,11 @@
     ) -> None:
         target = self.fleet.target_by_id.get(target_id)
         if request.path == "/report" and target is not None:
-            reply.send(200, json.dumps(self._report(target_id)).encode())
+            reply.send(
+                200,
+                json.dumps(self._report(target_id)).encode(),
+                self.notices.headers(target_id, ""),
+            )
             return
         if request.path == "/order" and target is not None:
             self._order(target_id, request, reply)
@@ -248,11 +255,27 @@
             reply.send(421, b"", {"Quetzalward-Not-Executed": "1"})
             return
         self.limits.record_arrival(target_id)
+        attempt_id = request.headers.get("quetzalward-attempt-id", "")
+        self.notices.record_arrival(target_id, attempt_id)
+        rest = self.notices.rest_headers(target_id, attempt_id)
+        if rest is not None:
+            rest |= self._own_headers(target_id, attempt_id)
+            reply.send(503, b"", {"Quetzalward-Not-Executed": "1", **rest})
+            return
         if target is None:
             await self._serve_plain(target_id, request, reply)
         else:
             await self._serve_stream(target, request, reply)
 
+    def _own_headers(self, target_id: str, attempt_id: str) -> dict[str, str]:
+        """Return the headers with which all answers of a target begin."""
+        return {
+            _streams.REPLICA_SEAL_HEADER: "s",
+            "Quetzalward-Attempt-Id": attempt_id,
+            **self.limits.headers(target_id),
+            **self.notices.headers(target_id, attempt_id),
+        }
+
     def _report(self, target_id: str) -> dict[str, object]:
         report = self.fleet.report(target_id)
         assert report is not None
@@ -294,11 +317,7 @@
     ) -> None:
         attempt_id = self._record_execution(target_id, request)
         await asyncio.sleep(0.01)
-        headers = {
-            _streams.REPLICA_SEAL_HEADER: "s",
-            "Quetzalward-Attempt-Id": attempt_id,
-            **self.limits.headers(target_id),
-        }
+        headers = self._own_headers(target_id, attempt_id)
         if self._rng.random() < self.stream_faults.abort_probability:
             reply.send_headers(200, {"content-length": "100", **headers})
             reply.send_data(b"part")
@@ -319,7 +338,10 @@
             or membership.state is not fleet.MemberState.OPEN
         ):
             refusal = {"Quetzalward-Not-Executed": "1"}
-            reply.send(503, b"", refusal | self.limits.headers(target.id))
+            attempt_id = request.headers.get("quetzalward-attempt-id", "")
+            refusal |= self.limits.headers(target.id)
+            refusal |= self.notices.headers(target.id, attempt_id)
+            reply.send(503, b"", refusal)
             return
         while not self._is_complete(membership):
             await asyncio.sleep(self.token_interval_s)
@@ -327,7 +349,7 @@
         stream = _streams.Stream(
             request, reply, attempt_id, self.stream_faults, self._rng
         )
-        stream.begin(target.id, self.limits.headers(target.id))
+        stream.begin(target.id, self._own_headers(target.id, attempt_id))
         part = stream.crashing_part()
         if part is not None:
             await asyncio.sleep(self.token_interval_s)
