--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -197,6 +197,10 @@
     target_id, born_ms = key
     known, now_ms = runtime.state.notices, runtime.now_ms()
     if notice.is_leaving and known.observe_leaving(key):
+        # The coordinator asks the targets that nodes report, and learns it
+        # from the report of this one.
+        runtime.state.suspects.add(target_id)
+        runtime.state.send_message_now = True
         runtime.log.event(
             "target_leaving", target=target_id, born_ms=born_ms, **fields
         )
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -116,6 +116,20 @@
             ["target_leaving", "target_resting"], self.runtime.log.names
         )
 
+    def test_coordinator_is_told_to_ask_a_leaving_target(self) -> None:
+        """At once, and once; a target at rest is not reported."""
+        state = self.runtime.state
+        self.observe(notices.TargetNotice(False, 1_000))
+        status = state.take_status(1, coordination.Known(), 0, 0)
+        self.assertEqual((), status.suspects)
+        self.assertFalse(state.send_message_now)
+        self.observe(BOTH)
+        self.assertTrue(state.send_message_now)
+        for suspects in (("t1",), ()):
+            status = state.take_status(1, coordination.Known(), 0, 0)
+            self.assertEqual(suspects, status.suspects)
+            self.observe(BOTH)
+
     def test_missing_header_does_not_end_leaving(self) -> None:
         """An answer that was under way may be older."""
         self.observe(BOTH)
