Soak: targets rest, or say that they leave

Cause: no fault of the soak let a target give notice.

Change: at 15 of 100 steps, from a generator of its own, up to six targets rest or one leaves without draining in the store. The check knows which node took each request; restarts and freezes of nodes excuse both rules, cuts that of rests.

--- a/packages/bench/src/quetzalward_bench/soak/_faults.py
+++ b/packages/bench/src/quetzalward_bench/soak/_faults.py
@@ -17,6 +17,8 @@
 ANSWER_FAULT_SHARE = 0.25
 # Share of the steps at which the store comes back from an older copy.
 RESTORE_SHARE = 0.12
+# Share of the steps at which targets say that they leave or rest.
+NOTICE_SHARE = 0.15
 
 _Action = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
@@ -34,6 +36,7 @@
         rng: random.Random,
         answer_rng: random.Random,
         restore_rng: random.Random,
+        notice_rng: random.Random,
     ) -> None:
         """Inject faults into the components of one run."""
         self._prompts = prompts
@@ -45,10 +48,13 @@
         # Generators of their own keep the draws of recorded seeds.
         self._answer_rng = answer_rng
         self._restore_rng = restore_rng
+        self._notice_rng = notice_rng
         self._tasks: set[asyncio.Task[None]] = set()
         self.history: list[str] = []
         # Until this time, a fault of the store or of a node may delay updates.
         self.disturbed_until_s = 0.0
+        # Restarts, freezes and cuts of nodes.
+        self.outages: list[platform.Outage] = []
 
     async def run(self, seconds: float) -> None:
         """Start random faults for a time, then wait until all have ended."""
@@ -82,6 +88,8 @@
                 self._begin(self._answer_rng.choice(answer_actions))
             if self._restore_rng.random() < RESTORE_SHARE:
                 self._begin(self.restore_store)
+            if self._notice_rng.random() < NOTICE_SHARE:
+                self._begin(self.give_notice)
             await asyncio.sleep(self._rng.uniform(0.2, 1.5))
         await asyncio.gather(*self._tasks)
 
@@ -95,6 +103,16 @@
         until_s = time.monotonic() + seconds + 5.0
         self.disturbed_until_s = max(self.disturbed_until_s, until_s)
 
+    def _record_outage(
+        self, node: _nodes.NodeProcess, begin_s: float, is_cut: bool = False
+    ) -> None:
+        """Record an outage that has just ended."""
+        self.outages.append(
+            platform.Outage(
+                str(node.front_port), begin_s, time.monotonic(), is_cut
+            )
+        )
+
     def _draw_duration_s(self) -> float:
         return self._rng.uniform(0.3, 3.0)
 
@@ -102,24 +120,30 @@
         """Kill a node and restart it."""
         node = self._rng.choice(self._nodes)
         self._extend_disturbance(RESTART_DELAY_S)
+        begin_s = time.monotonic()
         node.signal(signal.SIGKILL)
         await self._restart(node)
+        self._record_outage(node, begin_s)
 
     async def pause_node(self) -> None:
         """Suspend a node for a while."""
         node = self._rng.choice(self._nodes)
         duration_s = self._draw_duration_s()
         self._extend_disturbance(duration_s)
+        begin_s = time.monotonic()
         node.signal(signal.SIGSTOP)
         await asyncio.sleep(duration_s)
         node.signal(signal.SIGCONT)
+        self._record_outage(node, begin_s)
 
     async def stop_node(self) -> None:
         """Stop a node with SIGTERM, as the platform does, and restart it."""
         node = self._rng.choice(self._nodes)
         self._extend_disturbance(_nodes.GRACE_S)
+        begin_s = time.monotonic()
         node.signal(signal.SIGTERM)
         await self._restart(node)
+        self._record_outage(node, begin_s)
 
     async def _restart(self, node: _nodes.NodeProcess) -> None:
         while node.is_running:
@@ -181,9 +205,11 @@
         duration_s = self._draw_duration_s() * 2
         self._extend_disturbance(duration_s)
         modes = [m for m in platform.ProxyMode if m.value != "pass"]
+        begin_s = time.monotonic()
         node.proxy.set_mode(self._rng.choice(modes))
         await asyncio.sleep(duration_s)
         node.proxy.set_mode(platform.ProxyMode.PASS)
+        self._record_outage(node, begin_s, is_cut=True)
 
     async def kill_target(self) -> None:
         """Kill a target and restart it later under the same id."""
@@ -246,6 +272,29 @@
         for name in chosen:
             limits.end(name)
 
+    async def give_notice(self) -> None:
+        """Let some targets rest, or one say that it leaves.
+
+        It may never drain in the store, and is back under the same id.
+        """
+        rng, notices = self._notice_rng, self._targets.notices
+        names = [
+            *self._targets.plain_by_id,
+            *self._targets.fleet.target_by_id,
+        ]
+        if rng.random() < 0.5:
+            duration_s = rng.uniform(0.3, 5.0)
+            for name in rng.sample(names, rng.randint(1, 6)):
+                notices.rest(name, duration_s)
+            await asyncio.sleep(duration_s)
+            return
+        name = rng.choice(names)
+        notices.leave(name)
+        await asyncio.sleep(rng.uniform(2.0, 5.0))
+        self._targets.kill(name)
+        await asyncio.sleep(1.0)
+        await self._targets.restart(name)
+
     async def change_configuration(self) -> None:
         """Publish a few configurations in quick succession."""
         for _ in range(self._rng.randint(1, 4)):
--- a/packages/bench/src/quetzalward_bench/soak/_run.py
+++ b/packages/bench/src/quetzalward_bench/soak/_run.py
@@ -93,6 +93,7 @@
         rng,
         random.Random(f"{seed}-answers"),
         random.Random(f"{seed}-restores"),
+        random.Random(f"{seed}-notices"),
     )
     tasks = [asyncio.create_task(targets.run())]
     try:
@@ -180,6 +181,7 @@
         prompts_by_attempt, targets, faults.disturbed_until_s
     )
     broken += targets.limits.check()
+    broken += targets.notices.check(outcomes.senders(), faults.outages)
     execution_count_by_id: dict[str, int] = {}
     for execution in targets.executions:
         execution_count_by_id[execution.attempt_id] = (
