Treat an address that cannot be one as a failed connection

Callers whose request was sent to a target with port 70000, a NUL in the host or a label of 300 letters got an internal error and no other target was tried; probes and orders to it ended without a result.

`connect` documents two errors, but `OverflowError`, `ValueError` and `UnicodeError` of the event loop got out of it. The tasks of probes and orders caught only the documented ones, and nobody awaits them.

Now every failure of the address is a connection that was not made, so the request goes to another target. Any other fault of a command is logged as `internal_error`; a probe counts as unanswered, and an order too, since it may have been sent.

--- a/packages/gateway/src/quetzalward_gateway/_channel.py
+++ b/packages/gateway/src/quetzalward_gateway/_channel.py
@@ -188,6 +188,7 @@
             )
     except TimeoutError as error:
         raise ChannelTimeout from error
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # The last two are raised for an address that cannot be one.
         raise ChannelReset(str(error)) from error
     return channel
--- a/packages/gateway/src/quetzalward_gateway/_commands.py
+++ b/packages/gateway/src/quetzalward_gateway/_commands.py
@@ -1,6 +1,7 @@
 """Sends the commands of a coordinator to targets: probes and orders."""
 
 import asyncio
+import traceback
 
 import attrs
 
@@ -65,6 +66,8 @@
             runtime.log.event(
                 "report_missing", target=command.target_id, reason=str(error)
             )
+        except Exception as error:
+            self._log_fault(error)
         coordinator.record_report(command.target_id, report, runtime.now_ms())
 
     async def _send_order(
@@ -93,6 +96,11 @@
             if error.sent:
                 result = grouping.OrderAnswer.UNANSWERED
             reason = str(error)
+        except Exception as error:
+            self._log_fault(error)
+            # It may have been sent.
+            result = grouping.OrderAnswer.UNANSWERED
+            reason = repr(error)
         runtime.log.event(
             "order",
             order=type(order).__name__,
@@ -101,3 +109,9 @@
             **attrs.asdict(order),
         )
         coordinator.record_order_answer(order, result, runtime.now_ms())
+
+    def _log_fault(self, error: Exception) -> None:
+        """Log a fault of a task, whose result nobody awaits."""
+        self._runtime.log.event(
+            "internal_error", reason=traceback.format_exc(), error=repr(error)
+        )
