Refuse amounts and ports out of range in the nodes' messages

A datagram whose amounts are `Infinity` was accepted. The coordinator rounds the sum of all nodes' amounts for its view, and rounding it raises `OverflowError` in the main task, which ends the process. A port above 65535 was accepted too; sending there closes asyncio's datagram transport for good in Python 3.11. An echo of 6,000 digits raised `ValueError` past the handler.

Before: test_amount_that_overflows_is_refused and the longer list of test_address_that_cannot_be_written_to_is_refused failed ("ValueError not raised"), test_echo_of_many_digits_is_none with "Exceeds the limit (4300 digits)". The end of a process was read from the code, not run.

Now decoding bounds them, and the datagram is logged as unreadable.

--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import json
+import re
 import typing
 import zlib
 
@@ -220,6 +221,10 @@
 # Ends the echoed clock. Neither JSON nor compressed data begins with digits
 # and this separator.
 _ECHO_SEPARATOR = b";"
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+_MAX_ECHO_DIGITS = 18
+# Largest number of requests, tokens or ms that a message states.
+_MAX_AMOUNT = 1e15
 
 _STATUS = "status"
 _VIEW = "view"
@@ -306,7 +311,7 @@
 def split_echo(datagram: bytes) -> tuple[int | None, bytes]:
     """Return the echoed clock of a view, if it has one, and the rest."""
     head, separator, rest = datagram.partition(_ECHO_SEPARATOR)
-    if not separator or not head.isdigit():
+    if not separator or not head.isdigit() or len(head) > _MAX_ECHO_DIGITS:
         return None, datagram
     return int(head), rest
 
@@ -409,11 +414,19 @@
 def _address(text: typing.Any) -> str:
     """Return an address; raises `ValueError` if it is not HOST:PORT."""
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not _PORT.fullmatch(port) or not 0 < int(port) <= 65_535:
         raise ValueError(f"{text!r} is not an address")
     return str(text)
 
 
+def _amount(value: typing.Any) -> float:
+    """Return a number; raises `ValueError` if sums of it may overflow."""
+    amount = float(value)
+    if not abs(amount) <= _MAX_AMOUNT:
+        raise ValueError(f"{amount} is out of range")
+    return amount
+
+
 def _group_work(
     group: typing.Any,
     epoch: typing.Any,
@@ -427,11 +440,11 @@
     return GroupWork(
         str(group),
         int(epoch),
-        float(active),
-        float(pending_prefill_tokens),
+        _amount(active),
+        _amount(pending_prefill_tokens),
         int(event_age_ms),
         bool(stalled),
-        float(slowness),
+        _amount(slowness),
         int(gap_count),
     )
 
@@ -443,7 +456,7 @@
     mean_latency_ms: typing.Any,
 ) -> Outcome:
     return Outcome(
-        str(target_id), int(answered), int(failed), float(mean_latency_ms)
+        str(target_id), int(answered), int(failed), _amount(mean_latency_ms)
     )
 
 
@@ -456,10 +469,10 @@
 ) -> GroupLoadRow:
     return GroupLoadRow(
         int(position),
-        float(active),
+        _amount(active),
         int(pending_prefill_tokens),
         int(event_age_ms),
-        float(slowness),
+        _amount(slowness),
     )
 
 
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -234,9 +234,24 @@
             echoed = coordination.with_echo(data, 123)
             self.assertEqual((123, data), coordination.split_echo(echoed))
 
+    def test_amount_that_overflows_is_refused(self) -> None:
+        """Rounding an infinite sum of it ended the coordinator's process."""
+        for value in ("Infinity", "-Infinity", "NaN", "1e999", "1e300"):
+            work = b'["g",1,1,%s,5,false,1,2]' % value.encode()
+            data = b'["status","b",3,4,1,[%s],[],[],[3,2,1,2]]' % work
+            with self.assertRaises(ValueError, msg=value):
+                coordination.decode(data)
+        sound = data.replace(value.encode(), b"7")
+        self.assertIsInstance(coordination.decode(sound), coordination.Status)
+
+    def test_echo_of_many_digits_is_none(self) -> None:
+        """Converting it raised `ValueError`, which no caller expects."""
+        data = b"9" * 6_000 + b";[]"
+        self.assertEqual((None, data), coordination.split_echo(data))
+
     def test_address_that_cannot_be_written_to_is_refused(self) -> None:
         """A holder's address is used for every later status."""
-        for address in ("a", "a:b", ":1", ""):
+        for address in ("a", "a:b", ":1", "", "a:0", "a:70000", "a:\u00b2"):
             relay = coordination.Relay("a", 3, address, 0, None)
             with self.assertRaises(ValueError):
                 coordination.decode(coordination.encode(relay))
