Ignore a term of another writer that names no address

A record of the election's topic with the address "nowhere" was taken for a term. Each node then sent its status there: parsing the address raises `ValueError` in the main task, which ends the process, and again after each restart as the record stays.

Now a term needs an IPv4 address with a port and numbers within bounds, or it is logged as `duty_unreadable` and the nodes elect anew. The same parser checks addresses where messages are sent; an odd one is logged as `peer_address_invalid`. Names are refused, since sending a datagram looks them up and blocks the loop.

--- a/packages/core/src/quetzalward_core/fleet/__init__.py
+++ b/packages/core/src/quetzalward_core/fleet/__init__.py
@@ -1,5 +1,6 @@
 """The configuration and the targets, as the gateway uses them."""
 
+from quetzalward_core.fleet._addresses import parse_address
 from quetzalward_core.fleet._directory import Directory
 from quetzalward_core.fleet._directory import RETURN_GRACE_MS
 from quetzalward_core.fleet._freshness import Freshness
@@ -47,5 +48,6 @@
     "Service",
     "Target",
     "TargetReport",
+    "parse_address",
     "pick_service",
 ]
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -30,11 +30,6 @@
 _ClockKey = tuple[str, int]
 
 
-def _parse_address(text: str) -> fleet.Address:
-    host, _, port = text.rpartition(":")
-    return fleet.Address(host, int(port))
-
-
 @attrs.frozen
 class _Recipient:
     """A node to which the holder sends a message."""
@@ -283,11 +278,10 @@
             self._send_to_nodes(now_ms, view)
             self._send_lists(now_ms)
         elif term is not None and term.address:
-            holder = _parse_address(term.address)
-            self._socket.send(coordination.encode(status), holder)
+            self._send_to(term.address, status)
             report = self._quarantine.report(term.number, now_ms)
             if report is not None:
-                self._socket.send(coordination.encode(report), holder)
+                self._send_to(term.address, report)
             self._send_limit_report(now_ms)
 
     def _send_limit_report(self, now_ms: clock.Millis) -> None:
@@ -301,9 +295,20 @@
             term.number, now_ms, state.message_interval_ms()
         )
         if report is not None:
-            self._socket.send(
-                coordination.encode(report), _parse_address(term.address)
-            )
+            self._send_to(term.address, report)
+
+    def _send_to(self, address: str, message: coordination.Message) -> None:
+        """Send a message to an address that another node has named."""
+        peer = self._parse_address(address)
+        if peer is not None:
+            self._socket.send(coordination.encode(message), peer)
+
+    def _parse_address(self, text: str) -> fleet.Address | None:
+        try:
+            return fleet.parse_address(text)
+        except ValueError as error:
+            self._runtime.log.event("peer_address_invalid", reason=str(error))
+            return None
 
     def _send_lists(self, now_ms: clock.Millis) -> None:
         """Send blocks and limits to all other nodes if that is due."""
@@ -374,9 +379,11 @@
             others.add(self._terms.previous_address)
         others.discard(str(self._settings.peers))
         others -= {str(recipient.address) for recipient in recipients}
+        addresses = map(self._parse_address, sorted(others))
         return recipients + [
-            _Recipient(_parse_address(text), coordination.Known(), None)
-            for text in sorted(others)
+            _Recipient(address, coordination.Known(), None)
+            for address in addresses
+            if address is not None
         ]
 
     def _message(
--- a/packages/gateway/src/quetzalward_gateway/_terms.py
+++ b/packages/gateway/src/quetzalward_gateway/_terms.py
@@ -22,6 +22,8 @@
 # A machine below either limit claims a term only if no other node does.
 LOW_CAPACITY_CORES = 1.0
 LOW_CAPACITY_LINK_MBPS = 50.0
+# Above the terms of any era that the store can name.
+MAX_NUMBER = 1 << 80
 _TERM_KEY = "coordinator"
 _CRC_RANGE = 1 << 32
 
@@ -221,15 +223,18 @@
                 continue
             try:
                 value = json.loads(record.value)
-                self._stored_era = int(
-                    value.get("era", coordination.UNKNOWN_ERA)
-                )
-                return coordination.Term(
-                    # Records of earlier versions have no number.
-                    int(value.get("number", record.offset + 1)),
+                era = int(value.get("era", coordination.UNKNOWN_ERA))
+                # Records of earlier versions have no number.
+                number = int(value.get("number", record.offset + 1))
+                if not 0 < number < MAX_NUMBER or not abs(era) < MAX_NUMBER:
+                    raise ValueError("the term or its era is out of range")
+                term = coordination.Term(
+                    number,
                     str(value["node"]),
-                    str(value["address"]),
+                    str(fleet.parse_address(str(value["address"]))),
                 )
+                self._stored_era = era
+                return term
             except (
                 ValueError,
                 KeyError,
--- a/packages/gateway/tests/test_terms.py
+++ b/packages/gateway/tests/test_terms.py
@@ -1,13 +1,17 @@
 """Tests of the coordinator's terms in a store that is restored."""
 
 import asyncio
+import json
 import typing
 import unittest
 
 import attrs
 import fakes
 
+from quetzalward_core import coordination
 from quetzalward_core import fleet
+from quetzalward_gateway import _coordinator_task
+from quetzalward_gateway import _ports
 from quetzalward_gateway import _quarantine_control
 from quetzalward_gateway import _terms
 
@@ -111,5 +115,44 @@
         self.assertIn("duty_unreadable", self.second_runtime.log.names)
 
 
+class OddTermTest(unittest.TestCase):
+    """Guards against a record of another writer that ends every node."""
+
+    def setUp(self) -> None:
+        """Start a node that knows no term."""
+        self.runtime = fakes.Runtime()
+        self.keeper = TermRestoreTest.keeper(self.runtime, "b")
+
+    def test_term_that_names_no_address_is_no_term(self) -> None:
+        """Sending a status there raised an error in the main task."""
+        sound = {"node": "a", "address": "127.0.0.1:1", "number": 5, "era": 1}
+        for changes in (
+            {"address": "nowhere"},
+            {"address": "127.0.0.1:70000"},
+            {"address": "127.0.0.1\0:1"},
+            {"address": "localhost:1"},
+            {"address": None},
+            {"number": 10**300},
+            {"number": -1},
+            {"era": 10**300},
+        ):
+            value = json.dumps({**sound, **changes}).encode()
+            page = _ports.Page((_ports.Record(0, "coordinator", value),), 1)
+            self.assertIsNone(self.keeper._decode(page), changes)
+            self.assertIn("duty_unreadable", self.runtime.log.names)
+        self.assertEqual(-1, self.keeper._stored_era)
+
+    def test_message_to_an_odd_address_is_not_sent(self) -> None:
+        """A message of another writer may name it as the holder's."""
+        untyped: typing.Any = self.runtime
+        task = _coordinator_task.CoordinatorTask(
+            untyped, fakes.settings(), *[typing.cast(typing.Any, None)] * 2
+        )
+        message = coordination.LimitList("a", 3, ())
+        for text in ("a:1", "127.0.0.1:70000", "nowhere", ""):
+            task._send_to(text, message)
+        self.assertEqual(["peer_address_invalid"] * 4, self.runtime.log.names)
+
+
 if __name__ == "__main__":
     unittest.main()
