Refuse entries beyond the bounds of a target, and say why

Entries of another writer with port 70000, negative or no slots, a cold start of 1e300 ms, an address that is no IPv4 address or a key that no header can carry were taken for targets, and callers whose request was sent there got an internal error. A configuration with a cold start of 1e308 s raised `OverflowError` in the follower, which ends the process. Nothing in the log told of an entry that was ignored.

Decoding checked types only, and returned `None` both for a removed entry and for a malformed one.

A malformed entry raises `ValueError`, and the follower logs `target_entry_invalid` with key and reason and goes on.

--- a/packages/bench/src/quetzalward_bench/soak/_nodes.py
+++ b/packages/bench/src/quetzalward_bench/soak/_nodes.py
@@ -59,7 +59,7 @@
         self.stop_requested_s: float | None = None
         self._zone = zone
         self._ready_port = free_port()
-        self._peers_port = free_port(socket.SOCK_DGRAM)
+        self.peers_port = free_port(socket.SOCK_DGRAM)
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
@@ -70,6 +70,13 @@
         """Tell whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int | None:
+        """Return the id of the running process, if it runs."""
+        if self._process is None or not self.is_running:
+            return None
+        return self._process.pid
+
     async def prepare(self) -> None:
         """Start the proxy and write the settings."""
         proxy_port = await self.proxy.start()
@@ -84,7 +91,7 @@
                 "front": f"127.0.0.1:{self.front_port}",
                 "ready": f"127.0.0.1:{self._ready_port}",
             },
-            "internalPorts": [self._peers_port],
+            "internalPorts": [self.peers_port],
             "bootstrap": self._first,
             "limits": {"cpuShare": 1.0, "cores": 1, "linkMbps": 1000.0},
             "bounds": {
@@ -137,11 +144,17 @@
 
     def errors(self) -> list[str]:
         """Return the log lines that report internal errors."""
-        if not self._log.exists():
-            return []
-        lines = self._log.read_text(errors="replace").splitlines()
         return [
             line
-            for line in lines
+            for line in self._lines()
             if "internal_error" in line or "Traceback" in line
         ]
+
+    def events(self) -> list[dict[str, typing.Any]]:
+        """Return the logged events."""
+        return [json.loads(line) for line in self._lines() if line[:1] == "{"]
+
+    def _lines(self) -> list[str]:
+        if not self._log.exists():
+            return []
+        return self._log.read_text(errors="replace").splitlines()
--- a/packages/gateway/src/quetzalward_gateway/_ports.py
+++ b/packages/gateway/src/quetzalward_gateway/_ports.py
@@ -170,7 +170,11 @@
         """
 
     def decode_target(self, record: Record) -> fleet.Target | None:
-        """Decode a target's entry; `None` if it contains no usable target."""
+        """Decode a target's entry; `None` if it was removed.
+
+        Raises `ValueError` with the reason if it is malformed. It then names
+        no target to use.
+        """
 
     def decode_request(
         self, method: bytes, target: bytes, headers: _http.Headers
--- a/packages/gateway/src/quetzalward_gateway/_target_entries.py
+++ b/packages/gateway/src/quetzalward_gateway/_target_entries.py
@@ -7,6 +7,7 @@
 
 from quetzalward_core import clock
 from quetzalward_core import coordination
+from quetzalward_core import fleet
 from quetzalward_gateway import _follower
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
@@ -104,7 +105,7 @@
         )
         targets = []
         for record in page.records:
-            target = runtime.platform.decode_target(record)
+            target = self._decode(record)
             if target is not None:
                 targets.append(target)
         outdated: list[str] = []
@@ -142,7 +143,7 @@
     ) -> EntryChange:
         """Apply one record of the topic."""
         directory = self._runtime.state.directory
-        target = self._runtime.platform.decode_target(record)
+        target = self._decode(record)
         known = directory.get(record.key)
         if target is None:
             if known is not None and directory.remove(record.key, now_ms):
@@ -155,6 +156,16 @@
             return EntryChange.DRAINING
         return EntryChange.UPDATED
 
+    def _decode(self, record: _ports.Record) -> fleet.Target | None:
+        """Return the target of an entry; `None` if it names none."""
+        try:
+            return self._runtime.platform.decode_target(record)
+        except ValueError as error:
+            self._runtime.log.event(
+                "target_entry_invalid", key=record.key, reason=str(error)
+            )
+        return None
+
     def _expire_targets(self) -> None:
         directory = self._runtime.state.directory
         for target_id in directory.expire(self._runtime.now_ms()):
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -129,9 +129,14 @@
         )
 
     def decode_target(self, record: _ports.Record) -> fleet.Target | None:
-        """Return a target of the service that the record names."""
+        """Return a target of the service that the record names.
+
+        Raises `ValueError` if the record names none.
+        """
         if record.value is None:
             return None
+        if not record.value.isalpha():
+            raise ValueError("no service")
         return fleet.Target(
             record.key, record.value.decode(), ADDRESS, "z", False, 0, 1
         )
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -245,6 +245,20 @@
         self.relay()
         self.assertFalse(self.is_listed())
 
+    def test_odd_entry_does_not_stop_the_following(self) -> None:
+        """The records beside it, and those after it, are applied."""
+        for key, value in (("odd", "{"), ("u", "two")):
+            self.store.put(key, value)
+        read_once(self.holder)
+        self.relay()
+        self.store.remove("t")
+        read_once(self.holder)
+        self.relay()
+        for runtime in (self.holder_runtime, self.node_runtime):
+            directory = runtime.state.directory
+            self.assertEqual(["u"], [t.id for t in directory.all()])
+            self.assertIn("target_entry_invalid", runtime.log.names)
+
 
 if __name__ == "__main__":
     unittest.main()
