Withhold a target whose entry was overwritten instead of removing it

When another writer's odd entry stood over that of the head of a serving group, the target counted as gone: the coordinator gave up the group, and streams under way there were ended and had to go on elsewhere, although the target was sound and wrote its entry again later.

Now such a target is kept as withheld: it gets no new requests and joins no group, as the entry names no target to use, but its requests and its group go on. It is used again once it writes, and gone once its entry is removed.

--- a/packages/bench/tests/functional/test_odd_entries.py
+++ b/packages/bench/tests/functional/test_odd_entries.py
@@ -10,6 +10,7 @@
 from functional import gateway_case
 
 from quetzalward_bench.soak import _run
+from quetzalward_standins import group_targets
 from quetzalward_standins.platform import _targets
 
 SOUND = {
@@ -47,6 +48,8 @@
     {"group": {"name": "g", "epoch": 1, "rank": 1e300, "state": "open"}},
     {"state": "asleep"},
 ]
+# Heads whose entry is overwritten, one after the other.
+HEADS = 5
 # Topic of the nodes' election in the store.
 DUTY_TOPIC = "keyed.quetzalward-duty"
 # Time from a change of an entry until it must be in force at all nodes.
@@ -127,6 +130,52 @@
             self.assertTrue(line["key"].startswith("odd"), line)
             self.assertTrue(line["reason"], line)
 
+    async def next_head(self) -> group_targets.GroupTarget:
+        """Return the head of a group that has just begun a stream."""
+        count = len(self.targets.executions)
+        while True:
+            for one in self.targets.executions[count:]:
+                head = self.targets.fleet.target_by_id.get(one.target_id)
+                if head is not None:
+                    return head
+            await asyncio.sleep(0.005)
+
+    async def test_odd_entry_over_that_of_a_head_cuts_no_stream(self) -> None:
+        """The group was given up, and the stream cut or moved."""
+        pids = [node.pid for node in self.nodes]
+        began_s = time.monotonic()
+        failed = len(self.events("attempt_failed", "stream_aborted"))
+        for _ in range(HEADS):
+            head = await self.next_head()
+            membership = head.membership
+            self.put(head.id, odd_values()[0])
+            await asyncio.sleep(APPLY_S / 2)
+            self.assertEqual(membership, head.membership)
+            self.targets.write_again()
+            await asyncio.sleep(APPLY_S / 2)
+        self.assertEqual(
+            [], self.events("attempt_failed", "stream_aborted")[failed:]
+        )
+        self.assert_undisturbed(pids, began_s)
+
+    async def test_odd_entry_over_that_of_a_target_withholds_it(self) -> None:
+        """It gets no new requests until it writes again."""
+        pids = [node.pid for node in self.nodes]
+        self.put("p0", odd_values()[0])
+        await asyncio.sleep(APPLY_S)
+        unused_s = time.monotonic()
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(0, self.executed_at("p0", unused_s))
+        self.targets.write_again()
+        await asyncio.sleep(APPLY_S)
+        for target_id in ("p1", "p2"):
+            self.targets.kill(target_id)
+        await asyncio.sleep(APPLY_S)
+        alone_s = time.monotonic()
+        await asyncio.sleep(OBSERVED_S)
+        self.assertGreater(self.executed_at("p0", alone_s), 0)
+        self.assert_undisturbed(pids, alone_s)
+
     async def test_odd_term_ends_no_process(self) -> None:
         """Each node sent its status to the address that a term names."""
         pids = [node.pid for node in self.nodes]
--- a/packages/core/src/quetzalward_core/fleet/_model.py
+++ b/packages/core/src/quetzalward_core/fleet/_model.py
@@ -182,6 +182,9 @@
     membership: Membership | None = None
     # Number of entries that the target has written since its start.
     sequence: int = 0
+    # Whether the entry was overwritten with a malformed one. The target gets
+    # no new requests until it writes again; it is not known to leave.
+    withheld: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
--- a/packages/gateway/src/quetzalward_gateway/_group_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_group_control.py
@@ -137,7 +137,15 @@
         now_ms: clock.Millis,
     ) -> None:
         present = set()
+        members = {
+            member
+            for group in coordinator.group_by_name.values()
+            for member in group.members
+        }
         for target in self._runtime.state.directory.of_service(service):
+            if target.withheld and target.id not in members:
+                # It must not be chosen for a group.
+                continue
             present.add(target.id)
             coordinator.observe(target, now_ms)
         for target_id in coordinator.host_by_id.keys() - present:
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -170,7 +170,11 @@
 
     def is_usable(self, target: fleet.Target) -> bool:
         """Tell whether a target may receive new requests."""
-        return not target.draining and target.zone not in self.evacuated_zones
+        return (
+            not target.draining
+            and not target.withheld
+            and target.zone not in self.evacuated_zones
+        )
 
     def message_interval_ms(self) -> float:
         """Return the interval between messages of one node."""
--- a/packages/gateway/src/quetzalward_gateway/_target_entries.py
+++ b/packages/gateway/src/quetzalward_gateway/_target_entries.py
@@ -5,6 +5,8 @@
 import collections.abc
 import enum
 
+import attrs
+
 from quetzalward_core import clock
 from quetzalward_core import coordination
 from quetzalward_core import fleet
@@ -23,11 +25,14 @@
     LISTED = "listed"
     DRAINING = "draining"
     GONE = "gone"
+    WITHHELD = "withheld"
     # Nothing, or a property other than whether the target may be used.
     UPDATED = "updated"
 
 
-_DEPARTURES = frozenset((EntryChange.DRAINING, EntryChange.GONE))
+_DEPARTURES = frozenset(
+    (EntryChange.DRAINING, EntryChange.GONE, EntryChange.WITHHELD)
+)
 
 
 class TargetsFollower(_follower.Follower):
@@ -154,17 +159,25 @@
             return EntryChange.LISTED
         if target.draining and not known.draining:
             return EntryChange.DRAINING
+        if target.withheld and not known.withheld:
+            return EntryChange.WITHHELD
         return EntryChange.UPDATED
 
     def _decode(self, record: _ports.Record) -> fleet.Target | None:
-        """Return the target of an entry; `None` if it names none."""
+        """Return the target of an entry; `None` if it names none.
+
+        A malformed entry over that of a known target is the word of another
+        writer. The target gets no new requests, but those under way and its
+        group go on until it writes again or its entry is removed.
+        """
         try:
             return self._runtime.platform.decode_target(record)
         except ValueError as error:
             self._runtime.log.event(
                 "target_entry_invalid", key=record.key, reason=str(error)
             )
-        return None
+        known = self._runtime.state.directory.get(record.key)
+        return None if known is None else attrs.evolve(known, withheld=True)
 
     def _expire_targets(self) -> None:
         directory = self._runtime.state.directory
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -259,6 +259,25 @@
             self.assertEqual(["u"], [t.id for t in directory.all()])
             self.assertIn("target_entry_invalid", runtime.log.names)
 
+    def test_odd_entry_over_that_of_a_target_does_not_remove_it(self) -> None:
+        """It was removed, and its group's streams were cut."""
+        self.store.put("t", "{")
+        read_once(self.holder)
+        self.relay()
+        self.node._offset = None
+        for is_read_in_full in (False, True):
+            if is_read_in_full:
+                read_once(self.node)
+            target = self.node_runtime.state.directory.get("t")
+            assert target is not None
+            self.assertFalse(target.draining)
+            self.assertFalse(self.node_runtime.state.is_usable(target))
+        self.store.put("t", "one")
+        read_once(self.node)
+        target = self.node_runtime.state.directory.get("t")
+        assert target is not None
+        self.assertTrue(self.node_runtime.state.is_usable(target))
+
 
 if __name__ == "__main__":
     unittest.main()
