Read past odd rows of the node's host list

One malformed row made the whole host list unreadable at each poll, so that the node kept its last list and followed no host any more. Deep nesting and infinite numbers raised `RecursionError` and `OverflowError`, which the worker caught as unexpected; no thread ended.

Before: test_odd_row_of_the_host_list_does_not_hide_the_others failed with "'int' object is not subscriptable", and test_hostile_numbers_and_nesting_raise_value_error with `RecursionError`.

Now such a row is left out and the number of them logged; a list of which no row can be read is refused as before, so the last one stays.

--- a/packages/node/src/quetzalward_node/targets/_codec.py
+++ b/packages/node/src/quetzalward_node/targets/_codec.py
@@ -5,10 +5,12 @@
 
 import attrs
 import cattrs
+import logbook
 
 from quetzalward_core import clock
 from quetzalward_core import routing
 
+_LOG = logbook.Logger("targets")
 # Unknown keys are ignored, as engines may report fields not used here.
 _CONVERTER = cattrs.Converter()
 
@@ -58,7 +60,13 @@
     """Return the body as an instance of `model`, or raise `ValueError`."""
     try:
         return _CONVERTER.structure(json.loads(body), model)
-    except (cattrs.BaseValidationError, TypeError, KeyError) as error:
+    except (
+        cattrs.BaseValidationError,
+        TypeError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise ValueError(f"cannot decode {model.__name__}: {error}") from error
 
 
@@ -90,14 +98,36 @@
 def parse_hosts(body: bytes, sent_ms: clock.Millis) -> routing.HostList:
     """Return a host list; raises `ValueError` for an invalid body.
 
-    Does not use the converter, which takes 40 ms for 5,680 hosts.
+    A malformed row is left out, unless none can be read. Does not use the
+    converter, which takes 40 ms for 5,680 hosts.
     """
     try:
         raw = json.loads(body)
         age_ms = int(raw["age_ms"])
-        hosts = {str(one["host"]): _host(one) for one in raw["hosts"]}
-    except (TypeError, KeyError, ValueError, AttributeError) as error:
+        rows = raw["hosts"]
+        if not isinstance(rows, list):
+            raise TypeError("the hosts are not a list")
+    except (
+        TypeError,
+        KeyError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise ValueError(f"cannot decode the host list: {error!r}") from error
+    hosts = {}
+    reasons = []
+    for row in rows:
+        try:
+            hosts[str(row["host"])] = _host(row)
+        except (TypeError, KeyError, ValueError, RecursionError) as error:
+            reasons.append(repr(error))
+    if reasons and not hosts:
+        raise ValueError(f"no host in the list can be read: {reasons[0]}")
+    if reasons:
+        _LOG.warning(
+            "left out {} rows of the host list: {}", len(reasons), reasons[0]
+        )
     return routing.HostList(sent_ms - max(0, age_ms), hosts)
 
 
--- a/packages/node/tests/test_targets.py
+++ b/packages/node/tests/test_targets.py
@@ -70,6 +70,35 @@
             with self.assertRaises(ValueError, msg=body):
                 _codec.parse_hosts(body, 0)
 
+    def test_hostile_numbers_and_nesting_raise_value_error(self) -> None:
+        """Each poll of them logged a traceback."""
+        report = json.dumps(REPORT | {"epoch": 0})
+        odd_report = report.replace('"epoch": 0', '"epoch": 1e999').encode()
+        with self.assertRaises(ValueError):
+            _codec.parse_report(odd_report, 0)
+        odd_list = b'{"age_ms":1e999,"hosts":[]}'
+        for body in (b"[" * 100_000, b"9" * 9_000, odd_list):
+            for parse in (_codec.parse_report, _codec.parse_hosts):
+                with self.assertRaises(ValueError, msg=body[:40]):
+                    parse(body, 0)
+
+    def test_odd_row_of_the_host_list_does_not_hide_the_others(self) -> None:
+        """The node kept the last list, so it followed no host any more."""
+        sound = {
+            "host": "h1",
+            "incarnation": "i",
+            "zone": "z",
+            "domain": "d",
+            "state": "up",
+            "engine_url": "http://127.0.0.1:1",
+        }
+        rows = [1, None, {}, [], {"host": "h2"}, sound]
+        body = json.dumps({"age_ms": 5, "hosts": rows}).encode()
+        self.assertEqual({"h1"}, _codec.parse_hosts(body, 100).hosts.keys())
+        odd = json.dumps({"age_ms": 5, "hosts": rows[:-1]}).encode()
+        with self.assertRaises(ValueError):
+            _codec.parse_hosts(odd, 100)
+
 
 class ScheduleTest(unittest.TestCase):
     """Guards the limits on the poll rate and on the age of reports."""
