--- a/packages/gateway/src/quetzalward_gateway/_follower.py
+++ b/packages/gateway/src/quetzalward_gateway/_follower.py
@@ -29,6 +29,20 @@
         return
 
 
+def _relayed_text(value: bytes | None) -> str | None:
+    """Return a value as it is relayed: empty if it cannot be read.
+
+    With some bytes replaced it might be readable, and differ from what this
+    node has read.
+    """
+    if value is None:
+        return None
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return ""
+
+
 class Follower:
     """Follows one keyed topic; recovers from lost history and connections.
 
@@ -253,10 +267,8 @@
     ) -> None:
         """Retain records that were read, for the other nodes."""
         for record in records:
-            value = record.value
-            text = None if value is None else value.decode("utf-8", "replace")
             relayed = coordination.RelayedRecord(
-                record.offset, record.key, text
+                record.offset, record.key, _relayed_text(record.value)
             )
             if ended_ms is not None:
                 self._buffer.append(relayed, ended_ms)
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -259,6 +259,17 @@
             self.assertEqual(["u"], [t.id for t in directory.all()])
             self.assertIn("target_entry_invalid", runtime.log.names)
 
+    def test_entry_that_is_not_utf8_is_not_relayed_as_another(self) -> None:
+        """A node used a target that the holder did not."""
+        record = _ports.Record(len(self.store.records), "odd", b"a\xffb")
+        self.store.records.append(record)
+        read_once(self.holder)
+        view = self.holder.view(self.node.offset)
+        assert view is not None
+        self.assertEqual([""], [one.value for one in view.records])
+        self.relay()
+        self.assertIsNone(self.node_runtime.state.directory.get("odd"))
+
     def test_odd_entry_over_that_of_a_target_does_not_remove_it(self) -> None:
         """It was removed, and its group's streams were cut."""
         self.store.put("t", "{")
