Follow a topic past a record whatever error it raises

The followers run in the process's main tasks: an error of one record other than `ValueError` ended the process, and each restart, as the record stays.

Before: test_any_error_of_one_record_does_not_stop_the_following failed with `RecursionError`.

Now any error of decoding one record is logged with its key.

--- a/packages/gateway/src/quetzalward_gateway/_operations.py
+++ b/packages/gateway/src/quetzalward_gateway/_operations.py
@@ -223,7 +223,8 @@
     ) -> fleet.Configuration | _ports.ZoneEvacuation | None:
         try:
             return self._runtime.platform.decode_operation(record)
-        except ValueError as error:
+        except Exception as error:
+            # The other records of the page hold whatever is wrong with one.
             self._runtime.log.event(
                 "operation_unreadable", key=record.key, reason=str(error)
             )
--- a/packages/gateway/src/quetzalward_gateway/_target_entries.py
+++ b/packages/gateway/src/quetzalward_gateway/_target_entries.py
@@ -172,7 +172,8 @@
         """
         try:
             return self._runtime.platform.decode_target(record)
-        except ValueError as error:
+        except Exception as error:
+            # The other records of the page hold whatever is wrong with one.
             self._runtime.log.event(
                 "target_entry_invalid", key=record.key, reason=str(error)
             )
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -259,6 +259,24 @@
             self.assertEqual(["u"], [t.id for t in directory.all()])
             self.assertIn("target_entry_invalid", runtime.log.names)
 
+    def test_any_error_of_one_record_does_not_stop_the_following(self) -> None:
+        """The main task ended, and with it the process."""
+        platform: typing.Any = self.holder_runtime.platform
+        decode = platform.decode_target
+
+        def fail(record: _ports.Record) -> object:
+            if record.key == "odd":
+                raise RecursionError
+            return decode(record)
+
+        platform.decode_target = platform.decode_operation = fail
+        for key in ("odd", "u"):
+            self.store.put(key, "two")
+        read_once(self.holder)
+        self.assertIsNotNone(self.holder_runtime.state.directory.get("u"))
+        read_once(follower(self.holder_runtime))
+        self.assertIn("operation_unreadable", self.holder_runtime.log.names)
+
     def test_entry_that_is_not_utf8_is_not_relayed_as_another(self) -> None:
         """A node used a target that the holder did not."""
         record = _ports.Record(len(self.store.records), "odd", b"a\xffb")
