Give a key to blocks whose parts are no Unicode text

A part with a lone surrogate, which JSON can carry, made the coordinator's main task raise `UnicodeEncodeError` when it looked for a block to write.

Before: test_part_that_is_no_text_can_be_written_again failed with `UnicodeEncodeError`.

Now the key is made of such parts too; the keys of others are the same.

--- a/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
@@ -36,7 +36,8 @@
 
 def record_key(parts: frozenset[str]) -> str:
     """Return the key of a block's record."""
-    text = "\n".join(sorted(parts)).encode()
+    # Parts may be any JSON strings, also such as are no Unicode text.
+    text = "\n".join(sorted(parts)).encode("utf-8", "surrogatepass")
     digest = hashlib.blake2b(text, digest_size=_KEY_BYTES)
     return KEY_PREFIX + digest.hexdigest()
 
--- a/packages/gateway/tests/test_quarantine_control.py
+++ b/packages/gateway/tests/test_quarantine_control.py
@@ -217,6 +217,14 @@
             record = _ports.Record(1, "block/x", value)
             Node("a").control.apply_records([record], True)
 
+    def test_part_that_is_no_text_can_be_written_again(self) -> None:
+        """After a restore, the key of its block could not be encoded."""
+        report = coordination.CrashReport("a", 1, (), (), (), (("\ud800",),))
+        self.holder.control.record(report, self.now_ms)
+        write = self.holder.control.next_write()
+        assert write is not None
+        self.assertTrue(write[0].startswith(_quarantine_control.KEY_PREFIX))
+
     def test_dropped_block_is_removed_from_the_store(self) -> None:
         """The store keeps no more blocks than the nodes."""
         for n in range(quarantine.MAX_BLOCKS + 1):
