--- a/packages/core/src/quetzalward_core/notices/_model.py
+++ b/packages/core/src/quetzalward_core/notices/_model.py
@@ -30,6 +30,8 @@
     EVACUATED = "evacuated"
     LEAVING = "leaving"
     RESTING = "resting"
+    # Another writer's entry stands over that of the target.
+    WITHHELD = "withheld"
 
 
 @attrs.frozen
--- a/packages/core/src/quetzalward_core/notices/_target_notices.py
+++ b/packages/core/src/quetzalward_core/notices/_target_notices.py
@@ -47,6 +47,8 @@
             return _model.Refused(_model.Reason.LEAVING)
         if target.draining:
             return _model.Refused(_model.Reason.DRAINING)
+        if target.withheld:
+            return _model.Refused(_model.Reason.WITHHELD)
         if target.zone in evacuated_zones:
             return _model.Refused(_model.Reason.EVACUATED)
         if known is not None and known.rest_end_ms is not None:
--- a/packages/gateway/src/quetzalward_gateway/_group_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_group_control.py
@@ -137,7 +137,15 @@
         now_ms: clock.Millis,
     ) -> None:
         present = set()
+        members = {
+            member
+            for group in coordinator.group_by_name.values()
+            for member in group.members
+        }
         for target in self._runtime.state.directory.of_service(service):
+            if target.withheld and target.id not in members:
+                # It must not be chosen for a group.
+                continue
             present.add(target.id)
             drained = self._runtime.state.notices.drained(target)
             coordinator.observe(drained, now_ms)
--- a/packages/gateway/src/quetzalward_gateway/_target_entries.py
+++ b/packages/gateway/src/quetzalward_gateway/_target_entries.py
@@ -5,8 +5,11 @@
 import collections.abc
 import enum
 
+import attrs
+
 from quetzalward_core import clock
 from quetzalward_core import coordination
+from quetzalward_core import fleet
 from quetzalward_gateway import _follower
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
@@ -22,11 +25,14 @@
     LISTED = "listed"
     DRAINING = "draining"
     GONE = "gone"
+    WITHHELD = "withheld"
     # Nothing, or a property other than whether the target may be used.
     UPDATED = "updated"
 
 
-_DEPARTURES = frozenset((EntryChange.DRAINING, EntryChange.GONE))
+_DEPARTURES = frozenset(
+    (EntryChange.DRAINING, EntryChange.GONE, EntryChange.WITHHELD)
+)
 
 
 class TargetsFollower(_follower.Follower):
@@ -104,7 +110,7 @@
         )
         targets = []
         for record in page.records:
-            target = runtime.platform.decode_target(record)
+            target = self._decode(record)
             if target is not None:
                 targets.append(target)
         outdated: list[str] = []
@@ -142,7 +148,7 @@
     ) -> EntryChange:
         """Apply one record of the topic."""
         directory = self._runtime.state.directory
-        target = self._runtime.platform.decode_target(record)
+        target = self._decode(record)
         known = directory.get(record.key)
         if target is None:
             if known is not None and directory.remove(record.key, now_ms):
@@ -153,8 +159,27 @@
             return EntryChange.LISTED
         if target.draining and not known.draining:
             return EntryChange.DRAINING
+        if target.withheld and not known.withheld:
+            return EntryChange.WITHHELD
         return EntryChange.UPDATED
 
+    def _decode(self, record: _ports.Record) -> fleet.Target | None:
+        """Return the target of an entry; `None` if it names none.
+
+        A malformed entry over that of a known target is the word of another
+        writer. The target gets no new requests, but those under way and its
+        group go on until it writes again or its entry is removed.
+        """
+        try:
+            return self._runtime.platform.decode_target(record)
+        except Exception as error:
+            # The other records of the page hold whatever is wrong with one.
+            self._runtime.log.event(
+                "target_entry_invalid", key=record.key, reason=str(error)
+            )
+        known = self._runtime.state.directory.get(record.key)
+        return None if known is None else attrs.evolve(known, withheld=True)
+
     def _expire_targets(self) -> None:
         directory = self._runtime.state.directory
         for target_id in directory.expire(self._runtime.now_ms()):
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -245,6 +245,68 @@
         self.relay()
         self.assertFalse(self.is_listed())
 
+    def test_odd_entry_does_not_stop_the_following(self) -> None:
+        """The records beside it, and those after it, are applied."""
+        for key, value in (("odd", "{"), ("u", "two")):
+            self.store.put(key, value)
+        read_once(self.holder)
+        self.relay()
+        self.store.remove("t")
+        read_once(self.holder)
+        self.relay()
+        for runtime in (self.holder_runtime, self.node_runtime):
+            directory = runtime.state.directory
+            self.assertEqual(["u"], [t.id for t in directory.all()])
+            self.assertIn("target_entry_invalid", runtime.log.names)
+
+    def test_any_error_of_one_record_does_not_stop_the_following(self) -> None:
+        """The main task ended, and with it the process."""
+        platform: typing.Any = self.holder_runtime.platform
+        decode = platform.decode_target
+
+        def fail(record: _ports.Record) -> object:
+            if record.key == "odd":
+                raise RecursionError
+            return decode(record)
+
+        platform.decode_target = platform.decode_operation = fail
+        for key in ("odd", "u"):
+            self.store.put(key, "two")
+        read_once(self.holder)
+        self.assertIsNotNone(self.holder_runtime.state.directory.get("u"))
+        read_once(follower(self.holder_runtime))
+        self.assertIn("operation_unreadable", self.holder_runtime.log.names)
+
+    def test_entry_that_is_not_utf8_is_not_relayed_as_another(self) -> None:
+        """A node used a target that the holder did not."""
+        record = _ports.Record(len(self.store.records), "odd", b"a\xffb")
+        self.store.records.append(record)
+        read_once(self.holder)
+        view = self.holder.view(self.node.offset)
+        assert view is not None
+        self.assertEqual([""], [one.value for one in view.records])
+        self.relay()
+        self.assertIsNone(self.node_runtime.state.directory.get("odd"))
+
+    def test_odd_entry_over_that_of_a_target_does_not_remove_it(self) -> None:
+        """It was removed, and its group's streams were cut."""
+        self.store.put("t", "{")
+        read_once(self.holder)
+        self.relay()
+        self.node._offset = None
+        for is_read_in_full in (False, True):
+            if is_read_in_full:
+                read_once(self.node)
+            target = self.node_runtime.state.directory.get("t")
+            assert target is not None
+            self.assertFalse(target.draining)
+            self.assertFalse(self.node_runtime.state.is_usable(target, 0))
+        self.store.put("t", "one")
+        read_once(self.node)
+        target = self.node_runtime.state.directory.get("t")
+        assert target is not None
+        self.assertTrue(self.node_runtime.state.is_usable(target, 0))
+
 
 if __name__ == "__main__":
     unittest.main()
