Let stand-in targets stand still and go on; show the streams that are lost

What: Targets.pause(target_id, seconds) makes a target of the platform stand-in accept connections, answer nothing and send no event, and its group's streams stand still with it; then all goes on where it was. Drafts on a route without canResume are sent as well, since these cannot be moved.

Cause: no fault of the stand-ins made a sound target silent, so that no test saw what nodes do then.

--- a/packages/bench/src/quetzalward_bench/soak/_callers.py
+++ b/packages/bench/src/quetzalward_bench/soak/_callers.py
@@ -29,6 +29,18 @@
     key: str
     sent_s: float
     prompt: _prompts.Prompt | None = None
+    # Whether it may be executed more than once.
+    is_repeatable: bool = True
+
+
+@attrs.frozen
+class Loss:
+    """A request whose connection ended before its answer was complete."""
+
+    sent: SentAttempt
+    port: int
+    at_s: float
+    reason: str
 
 
 @attrs.define
@@ -41,6 +53,7 @@
     answered: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
+    losses: list[Loss] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
     # Most recent outcomes: time, kind, success.
     recent: collections.deque[tuple[float, str, bool]] = attrs.field(
@@ -70,8 +83,14 @@
         outcomes: Outcomes,
         prompts: _prompts.Prompts,
         rng: random.Random,
+        once_every: int = 0,
     ) -> None:
-        """Send requests to the nodes at loopback ports."""
+        """Send requests to the nodes at loopback ports.
+
+        Of the caller's requests, drafts among every `once_every`th one may be
+        executed only once.
+        """
+        self._once_every = once_every
         self._prompts = prompts
         self._ports = ports
         self._operator = operator
@@ -96,8 +115,19 @@
         self._sent_count += 1
         attempt_id = f"a{id(self):x}-{self._sent_count}"
         prompt = self._prompts.draw() if kind == "draft" else None
+        is_once = (
+            prompt is not None
+            and self._once_every > 0
+            and self._sent_count % self._once_every == 0
+        )
         sent = SentAttempt(
-            attempt_id, kind, tenant, key, time.monotonic(), prompt
+            attempt_id,
+            kind,
+            tenant,
+            key,
+            time.monotonic(),
+            prompt,
+            kind != "book" and not is_once,
         )
         self._outcomes.sent_by_id[attempt_id] = sent
         event_count = self._rng.randint(5, 25)
@@ -127,13 +157,16 @@
             answer = await client.call(
                 fleet.Address("127.0.0.1", port),
                 method,
-                f"/{kind}/1?n={self._sent_count}",
+                f"/{'once' if is_once else kind}/1?n={self._sent_count}",
                 headers,
                 body,
                 REQUEST_DEADLINE_MS + 1_500,
             )
-        except gateway.CallFailed:
+        except gateway.CallFailed as error:
             self._record(sent, "no answer", False)
+            self._outcomes.losses.append(
+                Loss(sent, port, time.monotonic(), str(error))
+            )
             return
         self._check(sent, answer, event_count)
 
--- a/packages/bench/src/quetzalward_bench/soak/_nodes.py
+++ b/packages/bench/src/quetzalward_bench/soak/_nodes.py
@@ -57,6 +57,8 @@
         self.front_port = free_port()
         self.proxy = platform.Proxy(store_port)
         self.stop_requested_s: float | None = None
+        # All signals that were sent, with their times.
+        self.signals: list[tuple[float, signal.Signals]] = []
         self._zone = zone
         self._ready_port = free_port()
         self._peers_port = free_port(socket.SOCK_DGRAM)
@@ -116,6 +118,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, by its id, if it is running."""
         if self.is_running and self._process is not None:
+            self.signals.append((time.monotonic(), number))
             self._process.send_signal(number)
             if number is signal.SIGTERM:
                 self.stop_requested_s = time.monotonic()
--- a/packages/bench/src/quetzalward_bench/soak/_run.py
+++ b/packages/bench/src/quetzalward_bench/soak/_run.py
@@ -214,9 +214,9 @@
         sent = outcomes.sent_by_id.get(attempt_id)
         if sent is None:
             continue
-        if sent.kind == "book" and count > 1:
+        if not sent.is_repeatable and count > 1:
             broken.append(f"{attempt_id}: executed {count} times")
-        if sent.kind == "book" and attempt_id in outcomes.not_executed:
+        if not sent.is_repeatable and attempt_id in outcomes.not_executed:
             broken.append(
                 f"{attempt_id}: executed, but reported as not executed"
             )
--- a/packages/bench/tests/functional/gateway_case.py
+++ b/packages/bench/tests/functional/gateway_case.py
@@ -21,6 +21,8 @@
 
     hosts = 9
     callers = 8
+    # Share of requests whose drafts may be executed only once, as a divisor.
+    once_every = 0
 
     async def asyncSetUp(self) -> None:
         """Start the stand-ins, gateways and callers, and await service."""
@@ -55,6 +57,7 @@
                 self.outcomes,
                 self.prompts,
                 random.Random(f"{SEED}-{n}"),
+                self.once_every,
             )
             self.tasks.append(asyncio.create_task(caller.run()))
         self.assertGreaterEqual(await _run.await_service(self.outcomes), 0)
--- a/packages/standins/src/quetzalward_standins/group_targets.py
+++ b/packages/standins/src/quetzalward_standins/group_targets.py
@@ -57,6 +57,8 @@
     sequence: int = 0
     # Cut off from the store: alive and open, but its entry expires.
     partitioned: bool = False
+    # Stands still: only its entry may go on.
+    silent: bool = False
 
 
 class GroupFleet:
@@ -176,6 +178,8 @@
         if not target.partitioned:
             if self.now_ms - target.heartbeat_ms >= HEARTBEAT_MS:
                 target.heartbeat_ms = self.now_ms
+        if target.silent:
+            return
         if target.staging and self.now_ms >= target.staging_until_ms:
             self._add_staged(target, target.staging)
             target.staging = None
--- a/packages/standins/src/quetzalward_standins/platform/__init__.py
+++ b/packages/standins/src/quetzalward_standins/platform/__init__.py
@@ -7,12 +7,15 @@
 from quetzalward_standins.platform._operator import Operator
 from quetzalward_standins.platform._proxy import Proxy
 from quetzalward_standins.platform._proxy import ProxyMode
+from quetzalward_standins.platform._silence import Silence
 from quetzalward_standins.platform._store import Store
+from quetzalward_standins.platform._targets import Arrival
 from quetzalward_standins.platform._targets import Crash
 from quetzalward_standins.platform._targets import Execution
 from quetzalward_standins.platform._targets import Targets
 
 __all__ = [
+    "Arrival",
     "Crash",
     "Execution",
     "Operator",
@@ -22,6 +25,7 @@
     "Reply",
     "Request",
     "Server",
+    "Silence",
     "Store",
     "Targets",
 ]
--- a/packages/standins/src/quetzalward_standins/platform/_http.py
+++ b/packages/standins/src/quetzalward_standins/platform/_http.py
@@ -121,15 +121,22 @@
 Handler = collections.abc.Callable[
     [Request, Reply], collections.abc.Awaitable[None]
 ]
+# Called with each request when it has been read; the handler is called later.
+Gate = collections.abc.Callable[[Request], collections.abc.Awaitable[None]]
+
+
+async def _pass(request: Request) -> None:
+    """Let each request pass at once."""
 
 
 class Server(_listener.Listener):
     """HTTP server on a loopback port."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, gate: Gate = _pass) -> None:
         """Create a server that passes each request to a handler."""
         super().__init__()
         self._handler = handler
+        self._gate = gate
 
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -152,6 +159,10 @@
             request = await _read_request(http, reader)
             if request is None:
                 return
+            # A caller that leaves meanwhile is noticed afterwards.
+            await self._gate(request)
+            if writer.transport.is_closing():
+                return
             reply = Reply(http, writer)
             task = asyncio.create_task(_handle(self._handler, request, reply))
             disconnect = asyncio.create_task(reader.read(1))
--- a/packages/standins/src/quetzalward_standins/platform/_operator.py
+++ b/packages/standins/src/quetzalward_standins/platform/_operator.py
@@ -72,7 +72,8 @@
         return {
             "version": self.version,
             "routes": [
-                self._route("draft", "/draft/", "streaming", "pool", 2),
+                self._route("draft", "/draft/", "streaming", "pool", 2, True),
+                self._route("once", "/once/", "streaming", "pool", 1),
                 self._route("book", "/book/", "non_idempotent", "desk", 1),
                 self._route("stock", "/stock/", "idempotent", "desk", 2),
             ],
@@ -89,7 +90,12 @@
 
     @staticmethod
     def _route(
-        name: str, prefix: str, kind: str, service: str, attempts: int
+        name: str,
+        prefix: str,
+        kind: str,
+        service: str,
+        attempts: int,
+        can_resume: bool = False,
     ) -> dict[str, typing.Any]:
         return {
             "name": name,
@@ -102,7 +108,7 @@
             "service": service,
             "maxAttempts": attempts,
             "anonymous": False,
-            "canResume": kind == "streaming",
+            "canResume": can_resume,
         }
 
     def _engine_document(self) -> dict[str, typing.Any]:
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -17,6 +17,7 @@
 from quetzalward_standins import group_targets
 from quetzalward_standins.platform import _http
 from quetzalward_standins.platform import _limits
+from quetzalward_standins.platform import _silence
 from quetzalward_standins.platform import _store
 from quetzalward_standins.platform import _streams
 
@@ -32,6 +33,18 @@
 CRASH_RESTART_S = 2.5
 
 
+@attrs.frozen
+class Arrival:
+    """One request that a target has read, whether it runs it or not."""
+
+    attempt_id: str
+    # The target, or all members of its group.
+    target_ids: tuple[str, ...]
+    at_s: float
+    # Whether the target is able to answer.
+    is_sound: bool
+
+
 @attrs.frozen
 class Execution:
     """One execution of a request by a target."""
@@ -79,6 +92,7 @@
         """Describe the fleet; `start` makes it listen."""
         self.store = store
         self.fleet = group_targets.GroupFleet(engine, "pool")
+        self.arrivals: list[Arrival] = []
         self.executions: list[Execution] = []
         self.refused: set[str] = set()
         self.plain_by_id = {
@@ -89,7 +103,12 @@
         self.token_interval_s = 0.03
         self.stream_faults = _streams.StreamFaults()
         self.limits = _limits.NamedLimits()
+        self.silences = _silence.Silences()
         self.crashes: list[Crash] = []
+        # Attempts whose answers were broken off by a fault.
+        self.broken_attempts: set[str] = set()
+        # When each target was killed.
+        self.kills_s_by_id: dict[str, list[float]] = {}
         self._restarts: set[asyncio.Task[None]] = set()
         self._rng = rng
         self._server_by_id: dict[str, _http.Server] = {}
@@ -113,6 +132,9 @@
         while True:
             await asyncio.sleep(UPDATE_INTERVAL_S)
             now_ms = int((time.monotonic() - self._started_s) * 1000)
+            for target in self.fleet.target_by_id.values():
+                if target.silent and not self.silences.is_silent(target.id):
+                    target.silent = target.partitioned = False
             self.fleet.advance(now_ms - self.fleet.now_ms)
             self._write_entries()
 
@@ -120,7 +142,11 @@
         async def handle(request: _http.Request, reply: _http.Reply) -> None:
             await self._serve(target_id, request, reply)
 
-        server = _http.Server(handle)
+        async def arrive(request: _http.Request) -> None:
+            self._record_arrival(target_id, request)
+            await self.silences.wait(target_id)
+
+        server = _http.Server(handle, arrive)
         port = self._port_by_id.get(target_id, 0)
         try:
             self._port_by_id[target_id] = await server.start(port)
@@ -209,6 +235,8 @@
     def kill(self, target_id: str) -> None:
         """Stop a target and reset its connections."""
         self.limits.end(target_id)
+        self.silences.end(target_id)
+        self.kills_s_by_id.setdefault(target_id, []).append(time.monotonic())
         if target_id in self.plain_by_id:
             self.plain_by_id[target_id].alive = False
         else:
@@ -231,8 +259,39 @@
         self.departure_s_by_id.pop(target_id, None)
         await self._listen(target_id)
 
+    def pause(
+        self, target_id: str, seconds: float, writes_entry: bool = True
+    ) -> None:
+        """Let a target stand still for a time; it loses nothing.
+
+        Without `writes_entry` its entry in the store may expire meanwhile.
+        """
+        self.silences.begin(target_id, seconds)
+        target = self.fleet.target_by_id.get(target_id)
+        if target is not None:
+            target.silent = True
+            target.partitioned = not writes_entry
+
     # Requests.
 
+    def _record_arrival(self, target_id: str, request: _http.Request) -> None:
+        headers = request.headers
+        attempt_id = headers.get("quetzalward-attempt-id")
+        if (
+            attempt_id is None
+            or headers.get("quetzalward-expect-replica") != target_id
+        ):
+            return
+        target_ids: tuple[str, ...] = (target_id,)
+        is_sound = True
+        target = self.fleet.target_by_id.get(target_id)
+        if target is not None and target.membership is not None:
+            target_ids = target.membership.members
+            is_sound = self._is_complete(target.membership)
+        self.arrivals.append(
+            Arrival(attempt_id, target_ids, time.monotonic(), is_sound)
+        )
+
     async def _serve(
         self, target_id: str, request: _http.Request, reply: _http.Reply
     ) -> None:
@@ -294,12 +353,14 @@
     ) -> None:
         attempt_id = self._record_execution(target_id, request)
         await asyncio.sleep(0.01)
+        await self.silences.wait(target_id)
         headers = {
             _streams.REPLICA_SEAL_HEADER: "s",
             "Quetzalward-Attempt-Id": attempt_id,
             **self.limits.headers(target_id),
         }
         if self._rng.random() < self.stream_faults.abort_probability:
+            self.broken_attempts.add(attempt_id)
             reply.send_headers(200, {"content-length": "100", **headers})
             reply.send_data(b"part")
             await asyncio.sleep(0.01)
@@ -321,7 +382,7 @@
             refusal = {"Quetzalward-Not-Executed": "1"}
             reply.send(503, b"", refusal | self.limits.headers(target.id))
             return
-        while not self._is_complete(membership):
+        while not self._goes_on(membership):
             await asyncio.sleep(self.token_interval_s)
         attempt_id = self._record_execution(target.id, request)
         stream = _streams.Stream(
@@ -331,14 +392,17 @@
         part = stream.crashing_part()
         if part is not None:
             await asyncio.sleep(self.token_interval_s)
+            await self.silences.wait(target.id)
             self._crash(target.id, part, attempt_id)
             return
         while not stream.is_complete:
-            while not self._is_complete(membership):
+            while not self._goes_on(membership):
                 await asyncio.sleep(self.token_interval_s)
             if not stream.send_next():
+                self.broken_attempts.add(attempt_id)
                 return
             await asyncio.sleep(self.token_interval_s)
+        await self.silences.wait(target.id)
         reply.send_end()
 
     def _crash(self, target_id: str, part: str, attempt_id: str) -> None:
@@ -357,6 +421,12 @@
         await asyncio.sleep(CRASH_RESTART_S)
         await self.restart(target_id)
 
+    def _goes_on(self, membership: group_targets.TargetMembership) -> bool:
+        """Tell whether a group is complete and no member stands still."""
+        return self._is_complete(membership) and not any(
+            self.silences.is_silent(member) for member in membership.members
+        )
+
     def _is_complete(self, membership: group_targets.TargetMembership) -> bool:
         """Tell whether all members of a group are alive and in its epoch."""
         for member in membership.members:
--- a/packages/standins/tests/test_platform_targets.py
+++ b/packages/standins/tests/test_platform_targets.py
@@ -1,4 +1,4 @@
-"""Tests of restarts of the platform stand-in's targets."""
+"""Tests of restarts and silences of the platform stand-in's targets."""
 
 import asyncio
 import random
@@ -9,6 +9,7 @@
 from quetzalward_standins import platform
 
 TARGET = "t0-0"
+SILENT_S = 0.4
 
 
 def engine() -> fleet.Engine:
@@ -33,12 +34,8 @@
     )
 
 
-class RestartTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against a failed restart after overlapping faults.
-
-    Two faults kill one target; the second restart must not fail because the
-    target already listens on its port.
-    """
+class TargetCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests of two targets."""
 
     async def asyncSetUp(self) -> None:
         """Start two targets."""
@@ -62,6 +59,14 @@
         """Return the port that a target listens on."""
         return self.targets._port_by_id[name]
 
+
+class RestartTest(TargetCase):
+    """Guards against a failed restart after overlapping faults.
+
+    Two faults kill one target; the second restart must not fail because the
+    target already listens on its port.
+    """
+
     async def accepts_connections(self, name: str) -> bool:
         """Tell whether a target accepts connections."""
         try:
@@ -91,3 +96,56 @@
             await self.targets.restart(TARGET)
             self.assertNotEqual(port, self.port(TARGET))
             self.assertTrue(await self.accepts_connections(TARGET))
+
+
+class SilenceTest(TargetCase):
+    """Guards against a silence that ends or loses what it only delays."""
+
+    async def request(self, name: str, path: str) -> bytes:
+        """Send a request to a target; return the status line."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.port(name)
+        )
+        head = (
+            f"GET {path} HTTP/1.1\r\nHost: t\r\n"
+            f"Quetzalward-Attempt-Id: a1\r\n"
+            f"Quetzalward-Expect-Replica: {name}\r\n\r\n"
+        )
+        writer.write(head.encode())
+        try:
+            return await reader.readline()
+        finally:
+            writer.close()
+
+    async def test_silent_target_answers_when_it_goes_on(self) -> None:
+        """A new connection is accepted, and its request waits."""
+        for name, path in ((TARGET, "/report"), ("p0", "/book/1")):
+            self.targets.pause(name, SILENT_S)
+            task = asyncio.create_task(self.request(name, path))
+            await asyncio.sleep(SILENT_S / 2)
+            self.assertFalse(task.done())
+            self.assertIn(b" 200 ", await task)
+        self.assertEqual(["a1"], [e.attempt_id for e in self.executed()])
+
+    async def test_request_of_a_caller_that_left_runs_afterwards(self) -> None:
+        """A silent target cannot notice that a connection has ended."""
+        self.targets.pause("p0", SILENT_S)
+        task = asyncio.create_task(self.request("p0", "/book/1"))
+        await asyncio.sleep(SILENT_S / 2)
+        task.cancel()
+        await asyncio.sleep(SILENT_S)
+        self.assertEqual(["a1"], [e.attempt_id for e in self.executed()])
+
+    async def test_killed_target_runs_nothing_that_it_had_read(self) -> None:
+        """Its end also ends the silence."""
+        self.targets.pause("p0", SILENT_S)
+        task = asyncio.create_task(self.request("p0", "/book/1"))
+        await asyncio.sleep(SILENT_S / 2)
+        self.targets.kill("p0")
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(SILENT_S)
+        self.assertEqual([], self.executed())
+
+    def executed(self) -> list[platform.Execution]:
+        """Return what the targets ran."""
+        return self.targets.executions
