Let a closed group of the stand-in finish its streams before it is ready

What: an order to close a group returns its head to ready once no request is under way; until then the head is closing. Reports give the number of requests under way.

Cause: the head was ready at once and reported no work. Nodes then let the members leave under running streams, which ended unanswered by a fault of the stand-in.

Tests of the grouping 36 passed.

--- a/packages/standins/src/quetzalward_standins/group_targets.py
+++ b/packages/standins/src/quetzalward_standins/group_targets.py
@@ -33,6 +33,8 @@
     # End of the current join or opening.
     transition_end_ms: clock.Millis = 0
     opening: bool = False
+    # Number of requests under way at the head.
+    active: int = 0
     stalled_ms: clock.Millis | None = None
 
 
@@ -159,7 +161,7 @@
             target.staging is not None,
             target.sequence,
             0,
-            0,
+            target.membership.active if target.membership else 0,
             1.0,
         )
 
@@ -198,6 +200,11 @@
             membership.opening = False
             membership.state = fleet.MemberState.OPEN
             self._check_members_ready(membership)
+        elif (
+            membership.state is fleet.MemberState.CLOSING
+            and not membership.active
+        ):
+            membership.state = fleet.MemberState.READY
         elif membership.state in _SERVING_STATES:
             self._detect_stall(membership)
 
@@ -268,12 +275,25 @@
             target.membership = None
             return grouping.OrderAnswer.BEGUN
         if isinstance(order, grouping.Close):
-            if membership.state in _SERVING_STATES:
-                membership.state = fleet.MemberState.READY
-                return grouping.OrderAnswer.BEGUN
-            return grouping.OrderAnswer.DONE
+            return self._close(membership, order.truncate)
         return self._open(membership, target)
 
+    @staticmethod
+    def _close(
+        membership: TargetMembership, truncate: bool
+    ) -> grouping.OrderAnswer:
+        if membership.state is fleet.MemberState.OPEN or (
+            membership.state is fleet.MemberState.CLOSING and truncate
+        ):
+            is_at_work = membership.active and not truncate
+            membership.state = (
+                fleet.MemberState.CLOSING
+                if is_at_work
+                else fleet.MemberState.READY
+            )
+            return grouping.OrderAnswer.BEGUN
+        return grouping.OrderAnswer.DONE
+
     def _stage(self, target: GroupTarget, model: str) -> grouping.OrderAnswer:
         if model in target.staged:
             return grouping.OrderAnswer.DONE
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -322,7 +322,7 @@
             "inUse": report.ordered,
             "sequence": report.sequence,
             "queued": 0,
-            "active": 0,
+            "active": report.active,
             "pace": 1.0,
         }
 
@@ -382,6 +382,19 @@
             refusal = {"Quetzalward-Not-Executed": "1"}
             reply.send(503, b"", refusal | self.limits.headers(target.id))
             return
+        membership.active += 1
+        try:
+            await self._write_stream(target, membership, request, reply)
+        finally:
+            membership.active -= 1
+
+    async def _write_stream(
+        self,
+        target: group_targets.GroupTarget,
+        membership: group_targets.TargetMembership,
+        request: _http.Request,
+        reply: _http.Reply,
+    ) -> None:
         while not self._goes_on(membership):
             await asyncio.sleep(self.token_interval_s)
         attempt_id = self._record_execution(target.id, request)
