Draw silent targets in the soak and check for requests that are lost

What: about a quarter of the steps let one target, a quarter of them, the plain service or all targets of a model stand still for 0.3 to 1.5 s, half of these beside a change of the configuration. The draws have a generator of their own. The soak reports each request that reached a target and whose connection ended without a whole answer, unless its node was killed or suspended or was at the end of its grace, its last target was killed or broke the answer off, or its time was up. A third of the drafts go to a route without canResume. An execution's time no longer includes a silence before it, so that the checks of departed targets and of prompts hold as before.

Cause: the soak had no such fault and counted a request without an answer without asking why.

--- a/packages/bench/src/quetzalward_bench/soak/_faults.py
+++ b/packages/bench/src/quetzalward_bench/soak/_faults.py
@@ -17,6 +17,10 @@
 ANSWER_FAULT_SHARE = 0.25
 # Share of the steps at which the store comes back from an older copy.
 RESTORE_SHARE = 0.12
+# Share of the steps at which sound targets stand still, and the share of these
+# that come beside a change of the configuration.
+SILENCE_SHARE = 0.25
+CHANGE_SHARE = 0.5
 
 _Action = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
@@ -34,6 +38,7 @@
         rng: random.Random,
         answer_rng: random.Random,
         restore_rng: random.Random,
+        silence_rng: random.Random,
     ) -> None:
         """Inject faults into the components of one run."""
         self._prompts = prompts
@@ -45,6 +50,7 @@
         # Generators of their own keep the draws of recorded seeds.
         self._answer_rng = answer_rng
         self._restore_rng = restore_rng
+        self._silence_rng = silence_rng
         self._tasks: set[asyncio.Task[None]] = set()
         self.history: list[str] = []
         # Until this time, a fault of the store or of a node may delay updates.
@@ -82,6 +88,8 @@
                 self._begin(self._answer_rng.choice(answer_actions))
             if self._restore_rng.random() < RESTORE_SHARE:
                 self._begin(self.restore_store)
+            if self._silence_rng.random() < SILENCE_SHARE:
+                self._begin(self.silence_targets)
             await asyncio.sleep(self._rng.uniform(0.2, 1.5))
         await asyncio.gather(*self._tasks)
 
@@ -246,6 +254,28 @@
         for name in chosen:
             limits.end(name)
 
+    async def silence_targets(self) -> None:
+        """Let some sound targets stand still and go on."""
+        rng, targets = self._silence_rng, self._targets
+        members = targets.fleet.target_by_id
+        plain_ids = list(targets.plain_by_id)
+        model = rng.choice(("large", "small"))
+        model_ids = [
+            target.id
+            for target in members.values()
+            if target.membership is not None
+            and target.membership.model == model
+        ]
+        quarter = rng.sample([*members, *plain_ids], len(members) // 4)
+        chosen = rng.choice((quarter[:1], quarter, plain_ids, model_ids))
+        seconds = rng.uniform(0.3, 1.5)
+        writes_entry = rng.random() < 0.5
+        for target_id in chosen:
+            if targets.is_alive(target_id):
+                targets.pause(target_id, seconds, writes_entry)
+        if rng.random() < CHANGE_SHARE:
+            self._operator.publish()
+
     async def change_configuration(self) -> None:
         """Publish a few configurations in quick succession."""
         for _ in range(self._rng.randint(1, 4)):
--- a/packages/bench/src/quetzalward_bench/soak/_run.py
+++ b/packages/bench/src/quetzalward_bench/soak/_run.py
@@ -12,12 +12,15 @@
 
 from quetzalward_bench.soak import _callers
 from quetzalward_bench.soak import _faults
+from quetzalward_bench.soak import _losses
 from quetzalward_bench.soak import _nodes
 from quetzalward_bench.soak import _prompts
 from quetzalward_core import fleet
 from quetzalward_standins import platform
 
 CALLERS = 8
+# Of each so many requests of a caller, a draft may be executed only once.
+ONCE_EVERY = 3
 REVOKE_S = 5.0
 DRAIN_S = 2.0
 # Tolerance between sending a request and recording its execution: the
@@ -93,6 +96,7 @@
         rng,
         random.Random(f"{seed}-answers"),
         random.Random(f"{seed}-restores"),
+        random.Random(f"{seed}-silences"),
     )
     tasks = [asyncio.create_task(targets.run())]
     try:
@@ -108,6 +112,7 @@
                     outcomes,
                     prompts,
                     random.Random(f"{seed}-{n}"),
+                    ONCE_EVERY,
                 ).run()
             )
             for n in range(CALLERS)
@@ -127,6 +132,7 @@
         store.server.close()
     broken = list(outcomes.violations) + stop_errors
     broken += _check(outcomes, targets, operator, faults)
+    broken += _losses.check(outcomes.losses, targets, nodes)
     broken += [line for node in nodes for line in node.errors()]
     if recovery_s < 0:
         broken.append("service did not recover after the last fault")
--- a/packages/standins/src/quetzalward_standins/platform/_http.py
+++ b/packages/standins/src/quetzalward_standins/platform/_http.py
@@ -4,6 +4,7 @@
 import collections.abc
 import socket
 import struct
+import time
 import typing
 import urllib.parse
 
@@ -23,6 +24,8 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    # When it had been read (monotonic clock).
+    read_s: float = attrs.field(factory=time.monotonic)
 
     @property
     def path(self) -> str:
--- a/packages/standins/src/quetzalward_standins/platform/_silence.py
+++ b/packages/standins/src/quetzalward_standins/platform/_silence.py
@@ -47,6 +47,18 @@
         silence = self._newest_by_target.get(target_id)
         return silence is not None and time.monotonic() < silence.end_s
 
+    def delay_s(self, target_ids: tuple[str, ...], since_s: float) -> float:
+        """Return how long the most silent target stood still since a time."""
+        now_s = time.monotonic()
+        delay_s_by_id = dict.fromkeys(target_ids, 0.0)
+        for silence in self.history:
+            if silence.target_id in delay_s_by_id:
+                delay_s_by_id[silence.target_id] += max(
+                    0.0,
+                    min(silence.end_s, now_s) - max(silence.begin_s, since_s),
+                )
+        return max(delay_s_by_id.values())
+
     async def wait(self, target_id: str) -> None:
         """Wait until a target goes on."""
         while self.is_silent(target_id):
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -9,6 +9,7 @@
 import json
 import random
 import time
+import typing
 
 import attrs
 
@@ -35,7 +36,7 @@
 
 @attrs.frozen
 class Arrival:
-    """One request that a target has read, whether it runs it or not."""
+    """One request that a target has read and does not refuse."""
 
     attempt_id: str
     # The target, or all members of its group.
@@ -53,6 +54,7 @@
     target_id: str
     service: str
     tenant: str | None
+    # When it began, less the time for which its target stood still before.
     at_s: float
     key_header: str | None
 
@@ -248,13 +250,11 @@
 
         Faults overlap: a target that was killed twice is restarted once.
         """
+        if self.is_alive(target_id):
+            return
         if target_id in self.plain_by_id:
-            if self.plain_by_id[target_id].alive:
-                return
             self.plain_by_id[target_id].alive = True
         else:
-            if self.fleet.target_by_id[target_id].alive:
-                return
             self.fleet.restart(target_id)
         self.departure_s_by_id.pop(target_id, None)
         await self._listen(target_id)
@@ -272,6 +272,12 @@
             target.silent = True
             target.partitioned = not writes_entry
 
+    def is_alive(self, target_id: str) -> bool:
+        """Tell whether a target runs."""
+        if target_id in self.plain_by_id:
+            return self.plain_by_id[target_id].alive
+        return self.fleet.target_by_id[target_id].alive
+
     # Requests.
 
     def _record_arrival(self, target_id: str, request: _http.Request) -> None:
@@ -285,11 +291,14 @@
         target_ids: tuple[str, ...] = (target_id,)
         is_sound = True
         target = self.fleet.target_by_id.get(target_id)
-        if target is not None and target.membership is not None:
-            target_ids = target.membership.members
-            is_sound = self._is_complete(target.membership)
+        if target is not None:
+            membership = target.membership
+            if not _is_open(membership):
+                return
+            target_ids = membership.members
+            is_sound = self._is_complete(membership)
         self.arrivals.append(
-            Arrival(attempt_id, target_ids, time.monotonic(), is_sound)
+            Arrival(attempt_id, target_ids, request.read_s, is_sound)
         )
 
     async def _serve(
@@ -333,7 +342,13 @@
         answer = self.fleet.order(order)
         reply.send(_STATUS_BY_ANSWER.get(answer, 409))
 
-    def _record_execution(self, target_id: str, request: _http.Request) -> str:
+    def _record_execution(
+        self,
+        target_id: str,
+        request: _http.Request,
+        members: tuple[str, ...] = (),
+    ) -> str:
+        delay_s = self.silences.delay_s((target_id, *members), request.read_s)
         attempt_id = request.headers.get("quetzalward-attempt-id", "")
         service = "desk" if target_id in self.plain_by_id else "pool"
         self.executions.append(
@@ -342,7 +357,7 @@
                 target_id,
                 service,
                 request.headers.get("quetzalward-tenant"),
-                time.monotonic(),
+                time.monotonic() - delay_s,
                 request.headers.get("authorization"),
             )
         )
@@ -375,10 +390,7 @@
         reply: _http.Reply,
     ) -> None:
         membership = target.membership
-        if (
-            membership is None
-            or membership.state is not fleet.MemberState.OPEN
-        ):
+        if not _is_open(membership):
             refusal = {"Quetzalward-Not-Executed": "1"}
             reply.send(503, b"", refusal | self.limits.headers(target.id))
             return
@@ -397,7 +409,9 @@
     ) -> None:
         while not self._goes_on(membership):
             await asyncio.sleep(self.token_interval_s)
-        attempt_id = self._record_execution(target.id, request)
+        attempt_id = self._record_execution(
+            target.id, request, membership.members
+        )
         stream = _streams.Stream(
             request, reply, attempt_id, self.stream_faults, self._rng
         )
@@ -454,6 +468,14 @@
         return True
 
 
+def _is_open(
+    membership: group_targets.TargetMembership | None,
+) -> typing.TypeGuard[group_targets.TargetMembership]:
+    return (
+        membership is not None and membership.state is fleet.MemberState.OPEN
+    )
+
+
 def _encode_membership(
     membership: fleet.Membership | None,
 ) -> dict[str, object] | None:
