--- a/packages/standins/src/quetzalward_standins/platform/__init__.py
+++ b/packages/standins/src/quetzalward_standins/platform/__init__.py
@@ -10,12 +10,15 @@
 from quetzalward_standins.platform._operator import Operator
 from quetzalward_standins.platform._proxy import Proxy
 from quetzalward_standins.platform._proxy import ProxyMode
+from quetzalward_standins.platform._silence import Silence
 from quetzalward_standins.platform._store import Store
+from quetzalward_standins.platform._targets import Arrival
 from quetzalward_standins.platform._targets import Crash
 from quetzalward_standins.platform._targets import Execution
 from quetzalward_standins.platform._targets import Targets
 
 __all__ = [
+    "Arrival",
     "Crash",
     "Execution",
     "Operator",
@@ -27,6 +30,7 @@
     "Request",
     "Sender",
     "Server",
+    "Silence",
     "Store",
     "TargetNotices",
     "Targets",
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -9,6 +9,7 @@
 import json
 import random
 import time
+import typing
 
 import attrs
 
@@ -18,6 +19,7 @@
 from quetzalward_standins.platform import _http
 from quetzalward_standins.platform import _limits
 from quetzalward_standins.platform import _notices
+from quetzalward_standins.platform import _silence
 from quetzalward_standins.platform import _store
 from quetzalward_standins.platform import _streams
 
@@ -33,6 +35,18 @@
 CRASH_RESTART_S = 2.5
 
 
+@attrs.frozen
+class Arrival:
+    """One request that a target has read and does not refuse."""
+
+    attempt_id: str
+    # The target, or all members of its group.
+    target_ids: tuple[str, ...]
+    at_s: float
+    # Whether the target is able to answer.
+    is_sound: bool
+
+
 @attrs.frozen
 class Execution:
     """One execution of a request by a target."""
@@ -41,6 +55,7 @@
     target_id: str
     service: str
     tenant: str | None
+    # When it began, less the time for which its target stood still before.
     at_s: float
     key_header: str | None
 
@@ -80,6 +95,7 @@
         """Describe the fleet; `start` makes it listen."""
         self.store = store
         self.fleet = group_targets.GroupFleet(engine, "pool")
+        self.arrivals: list[Arrival] = []
         self.executions: list[Execution] = []
         self.refused: set[str] = set()
         self.plain_by_id = {
@@ -92,7 +108,12 @@
         self.stream_faults = _streams.StreamFaults()
         self.limits = _limits.NamedLimits()
         self.notices = _notices.TargetNotices()
+        self.silences = _silence.Silences()
         self.crashes: list[Crash] = []
+        # Attempts whose answers were broken off by a fault.
+        self.broken_attempts: set[str] = set()
+        # When each target was killed.
+        self.kills_s_by_id: dict[str, list[float]] = {}
         self._restarts: set[asyncio.Task[None]] = set()
         self._rng = rng
         self._server_by_id: dict[str, _http.Server] = {}
@@ -116,6 +137,9 @@
         while True:
             await asyncio.sleep(UPDATE_INTERVAL_S)
             now_ms = int((time.monotonic() - self._started_s) * 1000)
+            for target in self.fleet.target_by_id.values():
+                if target.silent and not self.silences.is_silent(target.id):
+                    target.silent = target.partitioned = False
             self.fleet.advance(now_ms - self.fleet.now_ms)
             self._write_entries()
 
@@ -123,7 +147,11 @@
         async def handle(request: _http.Request, reply: _http.Reply) -> None:
             await self._serve(target_id, request, reply)
 
-        server = _http.Server(handle)
+        async def arrive(request: _http.Request) -> None:
+            self._record_arrival(target_id, request)
+            await self.silences.wait(target_id)
+
+        server = _http.Server(handle, arrive)
         port = self._port_by_id.get(target_id, 0)
         try:
             self._port_by_id[target_id] = await server.start(port)
@@ -213,6 +241,8 @@
         """Stop a target and reset its connections."""
         self.limits.end(target_id)
         self.notices.end(target_id)
+        self.silences.end(target_id)
+        self.kills_s_by_id.setdefault(target_id, []).append(time.monotonic())
         if target_id in self.plain_by_id:
             self.plain_by_id[target_id].alive = False
         else:
@@ -224,19 +254,57 @@
 
         Faults overlap: a target that was killed twice is restarted once.
         """
+        if self.is_alive(target_id):
+            return
         if target_id in self.plain_by_id:
-            if self.plain_by_id[target_id].alive:
-                return
             self.plain_by_id[target_id].alive = True
         else:
-            if self.fleet.target_by_id[target_id].alive:
-                return
             self.fleet.restart(target_id)
         self.departure_s_by_id.pop(target_id, None)
         await self._listen(target_id)
 
+    def pause(
+        self, target_id: str, seconds: float, writes_entry: bool = True
+    ) -> None:
+        """Let a target stand still for a time; it loses nothing.
+
+        Without `writes_entry` its entry in the store may expire meanwhile.
+        """
+        self.silences.begin(target_id, seconds)
+        target = self.fleet.target_by_id.get(target_id)
+        if target is not None:
+            target.silent = True
+            target.partitioned = not writes_entry
+
+    def is_alive(self, target_id: str) -> bool:
+        """Tell whether a target runs."""
+        if target_id in self.plain_by_id:
+            return self.plain_by_id[target_id].alive
+        return self.fleet.target_by_id[target_id].alive
+
     # Requests.
 
+    def _record_arrival(self, target_id: str, request: _http.Request) -> None:
+        headers = request.headers
+        attempt_id = headers.get("quetzalward-attempt-id")
+        if (
+            attempt_id is None
+            or headers.get("quetzalward-expect-replica") != target_id
+        ):
+            return
+        target_ids: tuple[str, ...] = (target_id,)
+        is_sound = True
+        target = self.fleet.target_by_id.get(target_id)
+        if target is not None:
+            membership = target.membership
+            if not _is_open(membership):
+                return
+            target_ids = membership.members
+            is_sound = self._is_complete(membership)
+        self.arrivals.append(
+            Arrival(attempt_id, target_ids, request.read_s, is_sound)
+        )
+
     async def _serve(
         self, target_id: str, request: _http.Request, reply: _http.Reply
     ) -> None:
@@ -287,7 +355,7 @@
             "inUse": report.ordered,
             "sequence": report.sequence,
             "queued": 0,
-            "active": 0,
+            "active": report.active,
             "pace": 1.0,
         }
 
@@ -298,7 +366,13 @@
         answer = self.fleet.order(order)
         reply.send(_STATUS_BY_ANSWER.get(answer, 409))
 
-    def _record_execution(self, target_id: str, request: _http.Request) -> str:
+    def _record_execution(
+        self,
+        target_id: str,
+        request: _http.Request,
+        members: tuple[str, ...] = (),
+    ) -> str:
+        delay_s = self.silences.delay_s((target_id, *members), request.read_s)
         attempt_id = request.headers.get("quetzalward-attempt-id", "")
         service = "desk" if target_id in self.plain_by_id else "pool"
         self.executions.append(
@@ -307,7 +381,7 @@
                 target_id,
                 service,
                 request.headers.get("quetzalward-tenant"),
-                time.monotonic(),
+                time.monotonic() - delay_s,
                 request.headers.get("authorization"),
             )
         )
@@ -318,8 +392,10 @@
     ) -> None:
         attempt_id = self._record_execution(target_id, request)
         await asyncio.sleep(self.plain_service_s)
+        await self.silences.wait(target_id)
         headers = self._own_headers(target_id, attempt_id)
         if self._rng.random() < self.stream_faults.abort_probability:
+            self.broken_attempts.add(attempt_id)
             reply.send_headers(200, {"content-length": "100", **headers})
             reply.send_data(b"part")
             await asyncio.sleep(0.01)
@@ -334,19 +410,31 @@
         reply: _http.Reply,
     ) -> None:
         membership = target.membership
-        if (
-            membership is None
-            or membership.state is not fleet.MemberState.OPEN
-        ):
+        if not _is_open(membership):
             refusal = {"Quetzalward-Not-Executed": "1"}
             attempt_id = request.headers.get("quetzalward-attempt-id", "")
             refusal |= self.limits.headers(target.id)
             refusal |= self.notices.headers(target.id, attempt_id)
             reply.send(503, b"", refusal)
             return
-        while not self._is_complete(membership):
+        membership.active += 1
+        try:
+            await self._write_stream(target, membership, request, reply)
+        finally:
+            membership.active -= 1
+
+    async def _write_stream(
+        self,
+        target: group_targets.GroupTarget,
+        membership: group_targets.TargetMembership,
+        request: _http.Request,
+        reply: _http.Reply,
+    ) -> None:
+        while not self._goes_on(membership):
             await asyncio.sleep(self.token_interval_s)
-        attempt_id = self._record_execution(target.id, request)
+        attempt_id = self._record_execution(
+            target.id, request, membership.members
+        )
         stream = _streams.Stream(
             request, reply, attempt_id, self.stream_faults, self._rng
         )
@@ -354,14 +442,17 @@
         part = stream.crashing_part()
         if part is not None:
             await asyncio.sleep(self.token_interval_s)
+            await self.silences.wait(target.id)
             self._crash(target.id, part, attempt_id)
             return
         while not stream.is_complete:
-            while not self._is_complete(membership):
+            while not self._goes_on(membership):
                 await asyncio.sleep(self.token_interval_s)
             if not stream.send_next():
+                self.broken_attempts.add(attempt_id)
                 return
             await asyncio.sleep(self.token_interval_s)
+        await self.silences.wait(target.id)
         reply.send_end()
 
     def _crash(self, target_id: str, part: str, attempt_id: str) -> None:
@@ -380,6 +471,12 @@
         await asyncio.sleep(CRASH_RESTART_S)
         await self.restart(target_id)
 
+    def _goes_on(self, membership: group_targets.TargetMembership) -> bool:
+        """Tell whether a group is complete and no member stands still."""
+        return self._is_complete(membership) and not any(
+            self.silences.is_silent(member) for member in membership.members
+        )
+
     def _is_complete(self, membership: group_targets.TargetMembership) -> bool:
         """Tell whether all members of a group are alive and in its epoch."""
         for member in membership.members:
@@ -394,6 +491,14 @@
         return True
 
 
+def _is_open(
+    membership: group_targets.TargetMembership | None,
+) -> typing.TypeGuard[group_targets.TargetMembership]:
+    return (
+        membership is not None and membership.state is fleet.MemberState.OPEN
+    )
+
+
 def _encode_membership(
     membership: fleet.Membership | None,
 ) -> dict[str, object] | None:
