Known red: silent targets are fixed; excuse an answer without framing or event

Their traces show streams whose last event had arrived when a fault broke off the end; the next target had nothing left to write and answered without a length. Such an answer cannot be told from one that was broken off (MIXED), so it counts as broken off by the stand-in.

--- a/packages/standins/src/quetzalward_standins/platform/_streams.py
+++ b/packages/standins/src/quetzalward_standins/platform/_streams.py
@@ -43,6 +43,8 @@
         self._rng = rng
         self._number = int(headers.get("last-event-id", "0"))
         self._count = int(headers["quetzalward-token-count"].split(",")[1])
+        # Whether chunks delimit the answer, rather than its connection's end.
+        self.is_framed = True
 
     @property
     def is_complete(self) -> bool:
@@ -66,6 +68,7 @@
             "content-type": "text/event-stream",
         }
         if self._rng.random() < self._faults.unframed_probability:
+            self.is_framed = False
             self._reply.send_unframed_headers(200, headers)
             return
         headers["transfer-encoding"] = "chunked"
--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -439,6 +439,9 @@
             request, reply, attempt_id, self.stream_faults, self._rng
         )
         stream.begin(target.id, self._own_headers(target.id, attempt_id))
+        if stream.is_complete and not stream.is_framed:
+            # Callers cannot tell it from an answer that was broken off.
+            self.broken_attempts.add(attempt_id)
         part = stream.crashing_part()
         if part is not None:
             await asyncio.sleep(self.token_interval_s)
