--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -13,6 +13,7 @@
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _operations
 from quetzalward_gateway import _ports
+from quetzalward_gateway import _responses
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _server
 from quetzalward_gateway import _settings
@@ -63,7 +64,7 @@
         self._was_ready = False
 
     async def _handle(
-        self, raw: _server.RawRequest, responder: _server.Responder
+        self, raw: _responses.RawRequest, responder: _responses.Responder
     ) -> None:
         await _exchange.handle(self.runtime, raw, responder)
 
--- a/packages/gateway/src/quetzalward_gateway/_exchange.py
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -8,8 +8,8 @@
 from quetzalward_gateway import _http
 from quetzalward_gateway import _plain
 from quetzalward_gateway import _ports
+from quetzalward_gateway import _responses
 from quetzalward_gateway import _runtime
-from quetzalward_gateway import _server
 from quetzalward_gateway import _stopping
 from quetzalward_gateway import _streaming
 
@@ -22,8 +22,8 @@
 
 async def handle(
     runtime: _runtime.Runtime,
-    raw: _server.RawRequest,
-    responder: _server.Responder,
+    raw: _responses.RawRequest,
+    responder: _responses.Responder,
 ) -> None:
     """Serve a caller's request.
 
@@ -86,9 +86,9 @@
 
 def _admit(
     runtime: _runtime.Runtime,
-    raw: _server.RawRequest,
+    raw: _responses.RawRequest,
     request: _ports.CallerRequest,
-    responder: _server.Responder,
+    responder: _responses.Responder,
 ) -> _runtime.Call | _runtime.Refused:
     """Check the route and the API key, and set the request's deadline."""
     state = runtime.state
--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -15,7 +15,7 @@
 from quetzalward_gateway import _log
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _ports
-from quetzalward_gateway import _server
+from quetzalward_gateway import _responses
 from quetzalward_gateway import _state
 from quetzalward_gateway import _watched_store
 
@@ -66,9 +66,9 @@
     """An admitted request with its route and deadline."""
 
     runtime: Runtime
-    raw: _server.RawRequest
+    raw: _responses.RawRequest
     request: _ports.CallerRequest
-    responder: _server.Responder
+    responder: _responses.Responder
     route: fleet.Route
     service: fleet.Service
     customer: fleet.Customer | None
@@ -236,7 +236,7 @@
 def refuse(
     runtime: Runtime,
     request: _ports.CallerRequest,
-    responder: _server.Responder,
+    responder: _responses.Responder,
     refused: Refused,
     route: fleet.Route | None = None,
 ) -> None:
--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -13,22 +13,7 @@
 from quetzalward_core import clock
 from quetzalward_core import fleet
 from quetzalward_gateway import _channel
-from quetzalward_gateway import _http
-
-_REASON_PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
+from quetzalward_gateway import _responses
 
 # Sent where the parser's state may not allow a response any more.
 _INTERNAL_ERROR_RESPONSE = (
@@ -39,87 +24,9 @@
 # with unread input resets the connection, and the caller loses the response.
 LINGER_MS = 1_000
 
-
-@attrs.frozen
-class RawRequest:
-    """A complete request as read from a connection."""
-
-    method: bytes
-    target: bytes
-    headers: _http.Headers
-    body: bytes
-    received_ms: clock.Millis
-
-
-class Responder:
-    """Writes one response, complete or as a stream."""
-
-    def __init__(
-        self,
-        http: h11.Connection,
-        channel: _channel.Channel,
-        is_closing: collections.abc.Callable[[], bool],
-    ) -> None:
-        """Respond on a channel; `is_closing` tells whether it then closes."""
-        self._http = http
-        self._channel = channel
-        self._is_closing = is_closing
-        self.started = False
-        self.finished = False
-        self.aborted = False
-
-    @property
-    def is_open(self) -> bool:
-        """Tell whether the caller's connection is open."""
-        return not self._channel.lost
-
-    def _encode_head(self, status: int, headers: _http.Headers) -> bytes:
-        if self._is_closing():
-            headers = [*headers, (b"connection", b"close")]
-        response = h11.Response(
-            status_code=status,
-            headers=headers,
-            reason=_REASON_PHRASES.get(status, b""),
-        )
-        return self._http.send(response) or b""
-
-    def send_response(
-        self, status: int, headers: _http.Headers, body: bytes
-    ) -> None:
-        """Send a complete response."""
-        content_length = (b"content-length", str(len(body)).encode())
-        data = self._encode_head(status, [*headers, content_length])
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        self.started = self.finished = True
-        self._channel.write(data)
-
-    def start_stream(self, status: int, headers: _http.Headers) -> None:
-        """Send the head of a streamed response, with chunked encoding."""
-        transfer_encoding = (b"transfer-encoding", b"chunked")
-        data = self._encode_head(status, [*headers, transfer_encoding])
-        self.started = True
-        self._channel.write(data)
-
-    async def send_chunk(self, data: bytes) -> None:
-        """Send a chunk of a streamed response; wait for the write buffer."""
-        self._channel.write(self._http.send(h11.Data(data=data)) or b"")
-        await self._channel.drain()
-
-    def finish(self) -> None:
-        """Send the last chunk of a streamed response."""
-        self._channel.write(self._http.send(h11.EndOfMessage()) or b"")
-        self.finished = True
-
-    def abort(self) -> None:
-        """Abort an incomplete response; the caller sees a reset."""
-        self.aborted = True
-        self._channel.abort()
-
-
 Handler = collections.abc.Callable[
-    [RawRequest, Responder], collections.abc.Awaitable[None]
+    [_responses.RawRequest, _responses.Responder],
+    collections.abc.Awaitable[None],
 ]
 
 
@@ -161,7 +68,7 @@
     http: h11.Connection
     phase: Phase = Phase.IDLE
     head: h11.Request | None = None
-    responder: Responder | None = None
+    responder: _responses.Responder | None = None
 
     @property
     def has_input(self) -> bool:
@@ -291,7 +198,7 @@
                 channel.close()
 
     async def _handle_request(
-        self, connection: _Connection, request: RawRequest
+        self, connection: _Connection, request: _responses.RawRequest
     ) -> bool:
         """Handle a request; return whether the connection stays open."""
         channel, http = connection.channel, connection.http
@@ -299,7 +206,7 @@
         if channel.lost:
             self._report(connection, "the caller has left")
             return False
-        responder = Responder(
+        responder = _responses.Responder(
             http, channel, lambda: self._closes_after_response(connection)
         )
         connection.responder = responder
@@ -341,7 +248,7 @@
 
     async def _read_request(
         self, connection: _Connection
-    ) -> RawRequest | None:
+    ) -> _responses.RawRequest | None:
         """Return the next request, `None` if the connection ends first.
 
         Raises `_Rejected` if the request violates the protocol or the limits.
@@ -379,7 +286,7 @@
             if body_bytes > limits.body_bytes:
                 raise _Rejected(413)
             parts.append(bytes(event.data))
-        return RawRequest(
+        return _responses.RawRequest(
             head.method,
             head.target,
             list(head.headers),
@@ -492,7 +399,7 @@
                 (b"content-length", b"0"),
                 (b"connection", b"close"),
             ],
-            reason=_REASON_PHRASES.get(error.status, b""),
+            reason=_responses.REASON_PHRASES.get(error.status, b""),
         )
         channel.write(http.send(response) or b"")
         end_ms = self._now_ms() + linger_ms
@@ -505,7 +412,7 @@
         channel.close()
 
     def _end_unfinished(
-        self, connection: _Connection, responder: Responder
+        self, connection: _Connection, responder: _responses.Responder
     ) -> None:
         """End a request whose handler returned without a whole response."""
         if responder.aborted:
--- a/packages/gateway/tests/test_callers_connections.py
+++ b/packages/gateway/tests/test_callers_connections.py
@@ -7,6 +7,7 @@
 
 from quetzalward_core import clock
 from quetzalward_core import fleet
+from quetzalward_gateway import _responses
 from quetzalward_gateway import _server
 
 # Time to notice an answer on a busy machine.
@@ -16,7 +17,7 @@
 
 
 async def answer(
-    raw: _server.RawRequest, responder: _server.Responder
+    raw: _responses.RawRequest, responder: _responses.Responder
 ) -> None:
     """Answer any request with an empty response."""
     responder.send_response(200, [], b"")
@@ -147,7 +148,7 @@
         """End the requests without a response while a stream goes on."""
 
         async def stream(
-            raw: _server.RawRequest, responder: _server.Responder
+            raw: _responses.RawRequest, responder: _responses.Responder
         ) -> None:
             responder.start_stream(200, [])
             await asyncio.sleep(0.3)
@@ -241,7 +242,7 @@
         """The caller saw a reset."""
 
         async def handler(
-            raw: _server.RawRequest, responder: _server.Responder
+            raw: _responses.RawRequest, responder: _responses.Responder
         ) -> None:
             """Return."""
 
@@ -254,7 +255,7 @@
         """The caller saw the end of the connection."""
 
         async def handler(
-            raw: _server.RawRequest, responder: _server.Responder
+            raw: _responses.RawRequest, responder: _responses.Responder
         ) -> None:
             responder.send_response(204, [], b"no body is allowed here")
 
@@ -265,7 +266,7 @@
         """What has begun must not look complete."""
 
         async def handler(
-            raw: _server.RawRequest, responder: _server.Responder
+            raw: _responses.RawRequest, responder: _responses.Responder
         ) -> None:
             responder.start_stream(200, [])
             raise ValueError
@@ -306,7 +307,7 @@
         handled = []
 
         async def handler(
-            raw: _server.RawRequest, responder: _server.Responder
+            raw: _responses.RawRequest, responder: _responses.Responder
         ) -> None:
             handled.append(raw)
             responder.send_response(200, [], b"")
