--- a/packages/gateway/src/quetzalward_gateway/_attempts.py
+++ b/packages/gateway/src/quetzalward_gateway/_attempts.py
@@ -31,7 +31,6 @@
     UNREACHABLE = "unreachable"
     # With the results from here on, the request may have been executed.
     BROKEN = "broken"
-    SLOW = "slow"
     TIMEOUT = "timeout"
     # Another attempt at the same stream went on first.
     SUPERSEDED = "superseded"
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -299,7 +299,7 @@
         body = await http.read_body(remaining_ms)
     except _channel.ChannelTimeout:
         return _Attempt(
-            _Result.SLOW, "the target did not respond within the deadline"
+            _Result.TIMEOUT, "the target did not respond within the deadline"
         )
     except (_channel.ChannelReset, _http.ProtocolError) as error:
         return _Attempt(
