--- a/packages/standins/src/quetzalward_standins/platform/_targets.py
+++ b/packages/standins/src/quetzalward_standins/platform/_targets.py
@@ -305,6 +305,17 @@
             Arrival(attempt_id, target_ids, request.read_s, is_sound)
         )
 
+    def _retract_arrival(self, target_id: str, attempt_id: str) -> None:
+        """Drop the last arrival of a request that its target refuses."""
+        for index in reversed(range(len(self.arrivals))):
+            arrival = self.arrivals[index]
+            if (arrival.attempt_id, arrival.target_ids[0]) == (
+                attempt_id,
+                target_id,
+            ):
+                del self.arrivals[index]
+                return
+
     async def _serve(
         self, target_id: str, request: _http.Request, reply: _http.Reply
     ) -> None:
@@ -328,6 +339,7 @@
         self.notices.record_arrival(target_id, attempt_id)
         rest = self.notices.rest_headers(target_id, attempt_id)
         if rest is not None:
+            self._retract_arrival(target_id, attempt_id)
             rest |= self._own_headers(target_id, attempt_id)
             reply.send(503, b"", {"Quetzalward-Not-Executed": "1", **rest})
             return
--- a/packages/standins/tests/test_platform_targets.py
+++ b/packages/standins/tests/test_platform_targets.py
@@ -146,6 +146,12 @@
         await asyncio.sleep(SILENT_S)
         self.assertEqual([], self.executed())
 
+    async def test_request_refused_at_rest_has_not_arrived(self) -> None:
+        """The soak took its target for the one that had to answer."""
+        self.targets.notices.rest("p0", 5.0)
+        self.assertIn(b" 503 ", await self.request("p0", "/book/1"))
+        self.assertEqual([], self.targets.arrivals)
+
     def executed(self) -> list[platform.Execution]:
         """Return what the targets ran."""
         return self.targets.executions
