Leave out entries of earlier lives after a restore of the store

Cause: the copy's entry of a target that had restarted since names an earlier start. It was taken for a new life, as only entries of the same life were compared by their count. The coordinator then saw a member with another start and took its group apart; nodes compared starts as well. test_entry_of_an_earlier_life_is_left_out failed before.

--- a/packages/core/src/quetzalward_core/fleet/_directory.py
+++ b/packages/core/src/quetzalward_core/fleet/_directory.py
@@ -131,10 +131,10 @@
     ) -> list[str]:
         """Apply the entries of a restored store; return the ids left out.
 
-        An entry that is older than what this node knows of the same life of
-        its target is left out. That of a target which was removed is added
-        only if the store still lists it when removals are trusted again. An
-        entry that is missing may be written again until then.
+        An entry that is older than what this node knows of its target, or of
+        an earlier life of it, is left out. That of a target which was removed
+        is added only if the store still lists it when removals are trusted
+        again. An entry that is missing may be written again until then.
         """
         self._removals_trusted_from_ms = max(
             self._removals_trusted_from_ms, now_ms + RETURN_GRACE_MS
@@ -155,10 +155,12 @@
 
     def _is_older_than_known(self, target: _model.Target) -> bool:
         entry = self._entry_by_id.get(target.id)
-        return (
-            entry is not None
-            and entry.target.key == target.key
-            and target.sequence < entry.target.sequence
+        if entry is None:
+            return False
+        known = entry.target
+        return (target.born_ms, target.sequence) < (
+            known.born_ms,
+            known.sequence,
         )
 
     def _was_removed(self, target: _model.Target) -> bool:
--- a/packages/core/tests/fleet/test_fleet.py
+++ b/packages/core/tests/fleet/test_fleet.py
@@ -142,6 +142,14 @@
         self.assertTrue(found.draining)
         self.assertEqual(["a"], left_out)
 
+    def test_entry_of_an_earlier_life_is_left_out(self) -> None:
+        """The coordinator took the group apart that the present life is in."""
+        present = target("a", born_ms=9, sequence=1)
+        self.directory.put(present, 10)
+        older = target("a", born_ms=3, sequence=7)
+        self.assertEqual(["a"], self.directory.restore([older], 20))
+        self.assertEqual(present, self.directory.get("a"))
+
     def test_new_life_of_a_target_is_applied(self) -> None:
         """Its count of entries begins anew."""
         self.directory.restore([target("a", born_ms=9, sequence=1)], 20)
