--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -368,8 +368,7 @@
     ) -> _Part | _Attempt:
         """Receive a part of the response, also after a silence.
 
-        Returns a failed `_Attempt` if the deadline passes or the target has
-        restarted.
+        Returns a failed `_Attempt` if the deadline passes.
         """
         call = self._call
         while True:
@@ -381,8 +380,6 @@
             try:
                 return await receive(min(STALL_CHECK_INTERVAL_MS, left_ms))
             except _channel.ChannelTimeout:
-                if self._is_silent and self._has_restarted():
-                    return _cut(_Result.BROKEN, "the target has restarted")
                 self._check_progress()
 
     def _check_progress(self) -> None:
@@ -410,9 +407,3 @@
         elif not load.check_requested and load.needs_check(pass_ms, now_ms):
             load.check_requested = True
             self._state.send_message_now = True
-
-    def _has_restarted(self) -> bool:
-        """Tell whether the target's entry is of a later start."""
-        head = self._place.group.head
-        known = self._state.directory.get(head.id)
-        return known is not None and known.born_ms > head.born_ms
