review: a crashing part behind the 64th of a prompt is never blocked

Cause: evidence and blocks consider the first 64 parts of a prompt only.

Change: case 5 with its script.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" && exec python3 case.py
