--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't
+# run. With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")" && exec python3 case.py
