Check API keys also when the configuration has none left

Cause: a configuration with `tenants` but without any key had the same empty table of customers as one without `tenants`, which needs no key. Admission took the one for the other, so that taking the last key away switched the check off: requests with that key, and with keys that no version ever held, ran without `Quetzalward-Tenant`.

An empty entry in `apiKeys` no longer admits requests that carry no key.

--- a/packages/core/src/quetzalward_core/fleet/_model.py
+++ b/packages/core/src/quetzalward_core/fleet/_model.py
@@ -139,6 +139,8 @@
     service_by_name: dict[str, Service]
     customer_by_key: dict[str, Customer]
     limits: CallerLimits
+    # Whether requests need an API key, also if no key is valid.
+    requires_keys: bool
 
 
 class MemberState(enum.Enum):
--- a/packages/gateway/src/quetzalward_gateway/_exchange.py
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -148,9 +148,10 @@
 ) -> fleet.Customer | None | _runtime.Refused:
     """Return the customer of a request's API key, `None` if none is needed.
 
-    Returns a refusal if the key is unknown or cannot be checked.
+    Returns a refusal if the key is unknown or cannot be checked. A
+    configuration that requires keys but has none admits nobody.
     """
-    if not configuration.customer_by_key or route.anonymous:
+    if not configuration.requires_keys or route.anonymous:
         return None
     freshness = runtime.state.freshness
     if not freshness.may_serve_keys(runtime.boot_ms()):
@@ -159,9 +160,11 @@
             "the configuration is too old to check API keys against it",
             ISOLATED_RETRY_AFTER_MS,
         )
-    customer = configuration.customer_by_key.get(request.api_key or "")
-    if customer is not None:
-        return customer
+    # An empty entry in the configuration must not admit requests without key.
+    if request.api_key:
+        customer = configuration.customer_by_key.get(request.api_key)
+        if customer is not None:
+            return customer
     if not freshness.is_ready(runtime.boot_ms()):
         return _runtime.Refused(
             errors.ErrorKind.NODE_ISOLATED,
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -31,12 +31,27 @@
 
 
 def configuration(
-    version: int, keys: typing.Iterable[str] = ()
+    version: int,
+    keys: typing.Iterable[str] = (),
+    routes: tuple[fleet.Route, ...] = (),
+    requires_keys: bool = True,
 ) -> fleet.Configuration:
-    """Return a configuration without routes, with some API keys."""
+    """Return a configuration with some API keys."""
     customer_by_key = {key: fleet.Customer("c") for key in keys}
     return fleet.Configuration(
-        version, (), {}, customer_by_key, fleet.CallerLimits()
+        version,
+        routes,
+        {"s": fleet.Service("s", "/", 0, 0.0)},
+        customer_by_key,
+        fleet.CallerLimits(),
+        requires_keys,
+    )
+
+
+def route(kind: fleet.RequestKind, anonymous: bool = False) -> fleet.Route:
+    """Return the route of a host to one service, which can resume."""
+    return fleet.Route(
+        "r", "h", "/", kind, 5_000, 400, 400, 1, {"s": 1.0}, 2, anonymous, True
     )
 
 
@@ -190,6 +205,7 @@
         factory=lambda: _state.NodeState(settings(), random.Random(1))
     )
     calls: set[typing.Any] = attrs.field(factory=set)
+    drain: None = None
     _store: _watched_store.WatchedStore | None = None
 
     def now_ms(self) -> clock.Millis:
