Serve streams of services without engines as streams

Cause: the service, not the kind of the route, decided how an answer is read. A stream of a service without an engine was buffered as a whole, its events were not looked at, and any clean close was its end. A target that broke off inside an event reached the caller as a complete 200 with a `Content-Length`; events were held back until the end, and the `Last-Event-Id` of a caller that resumes was dropped.

Change: `Call.is_stream` decides by the route or the engine. Streams of both kinds of services take the path that checks events, resumes and asks another target beside a silent one; `_places` has what differs between a group and a target. Event streams that are answered as a whole must end with an event, in the gateway and in the node, by one rule in core.

--- a/packages/core/src/quetzalward_core/streams/_sse.py
+++ b/packages/core/src/quetzalward_core/streams/_sse.py
@@ -5,6 +5,10 @@
 # An engine event holds one token; anything near this size is not an event.
 MAX_EVENT_BYTES = 262_144
 
+# Bytes at the end of a body that tell whether an event is complete.
+EVENT_END_BYTES = 4
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+
 
 class SseError(ValueError):
     """The bytes are not a valid event stream."""
@@ -81,3 +85,18 @@
     if "\n" in data or "\r" in data:
         raise ValueError("event data must be a single line")
     return f"id: {event_id}\ndata: {data}\n\n".encode()
+
+
+def is_event_stream(content_type: str) -> bool:
+    """Tell whether a media type is that of server-sent events."""
+    media_type, _, _ = content_type.partition(";")
+    return media_type.strip().lower() == "text/event-stream"
+
+
+def ends_with_event(tail: bytes) -> bool:
+    """Tell whether a body of events is whole, from its last bytes.
+
+    An empty line ends each event. A body without it was broken off, also if
+    the end of the connection ends the body. `EVENT_END_BYTES` are enough.
+    """
+    return not tail.strip() or tail.endswith(_EVENT_ENDS)
--- a/packages/gateway/src/quetzalward_gateway/_exchange.py
+++ b/packages/gateway/src/quetzalward_gateway/_exchange.py
@@ -39,7 +39,7 @@
         if isinstance(call, _runtime.Refused):
             _runtime.refuse(runtime, request, responder, call)
             return
-        await _serve(call)
+        await serve(call)
     except Exception as error:
         runtime.log.event(
             "internal_error",
@@ -52,12 +52,12 @@
             responder.send_response(status, [], b"")
 
 
-async def _serve(call: _runtime.Call) -> None:
+async def serve(call: _runtime.Call) -> None:
     """Serve an admitted request; answer it if the node ends it."""
     calls = call.runtime.calls
     calls.add(call)
     try:
-        if call.service.engine is not None:
+        if call.is_stream:
             await _streaming.StreamExchange(call).run()
         else:
             await _plain.run(call)
--- a/packages/gateway/src/quetzalward_gateway/_http.py
+++ b/packages/gateway/src/quetzalward_gateway/_http.py
@@ -8,6 +8,7 @@
 
 from quetzalward_core import clock
 from quetzalward_core import fleet
+from quetzalward_core import streams
 from quetzalward_gateway import _channel
 
 Headers = list[tuple[bytes, bytes]]
@@ -35,6 +36,15 @@
     # otherwise the end of the connection does.
     is_framed: bool
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Tell whether the body is a series of server-sent events."""
+        return any(
+            name == b"content-type"
+            and streams.is_event_stream(value.decode("latin-1"))
+            for name, value in self.headers
+        )
+
 
 @attrs.frozen
 class Response:
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -1,4 +1,4 @@
-"""Buffered requests to services without engines, retried where allowed."""
+"""Requests that are answered as a whole, retried where allowed."""
 
 import asyncio
 
@@ -8,6 +8,7 @@
 from quetzalward_core import errors
 from quetzalward_core import fleet
 from quetzalward_core import placing
+from quetzalward_core import streams
 from quetzalward_gateway import _admission
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _channel
@@ -284,7 +285,7 @@
     http.send(
         request.method,
         request.target,
-        call.target_headers(target, None),
+        call.target_headers(target, request.last_event_id),
         call.raw.body,
     )
 
@@ -297,6 +298,10 @@
         pool = _admission.pool_of(call.service)
         call.observe_answer(target, pool, answer, sent_ms)
         body = await http.read_body(remaining_ms)
+        if head.is_event_stream and not streams.ends_with_event(body):
+            return _Attempt(
+                _Result.BROKEN, "the response ended within an event"
+            )
     except _channel.ChannelTimeout:
         return _Attempt(
             _Result.TIMEOUT, "the target did not respond within the deadline"
--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -77,6 +77,17 @@
     # Whether a target may have received the request.
     is_sent: bool = False
 
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether the answer is forwarded event by event.
+
+        The route decides, also where its service has no engine.
+        """
+        return (
+            self.service.engine is not None
+            or self.route.kind is fleet.RequestKind.STREAMING
+        )
+
     def remaining_ms(self) -> clock.Millis:
         """Return the time until the deadline; negative after it."""
         return self.deadline_ms - self.runtime.now_ms()
--- a/packages/gateway/src/quetzalward_gateway/_stopping.py
+++ b/packages/gateway/src/quetzalward_gateway/_stopping.py
@@ -23,7 +23,7 @@
 ) -> _runtime.Call | _runtime.Refused:
     """Refuse a request that cannot end in time; limit the time of others."""
     now_ms = call.runtime.now_ms()
-    if call.service.engine is not None:
+    if call.is_stream:
         may_begin = drain.may_begin_stream(_stream_ms(call), now_ms)
         latest_ms = drain.end_ms
     else:
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -1,4 +1,4 @@
-"""A single attempt to serve a stream from a group."""
+"""A single attempt to serve a stream from one place."""
 
 import collections.abc
 import typing
@@ -6,17 +6,16 @@
 import attrs
 
 from quetzalward_core import clock
-from quetzalward_core import placing
 from quetzalward_core import quarantine
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _events
 from quetzalward_gateway import _http
+from quetzalward_gateway import _places
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
-from quetzalward_gateway import _state
 
-# Interval at which a waiting stream checks whether its group has stalled.
+# Interval at which a waiting stream checks whether its target has stalled.
 STALL_CHECK_INTERVAL_MS = 80
 
 _Part = typing.TypeVar("_Part")
@@ -39,38 +38,31 @@
     return _Attempt(result, reason, is_cut=True)
 
 
-def _is_event_stream(head: _http.ResponseHead) -> bool:
-    return any(
-        name == b"content-type" and value.startswith(b"text/event-stream")
-        for name, value in head.headers
-    )
-
-
 class AttemptObserver(typing.Protocol):
     """Learns of the progress of attempts that may run beside each other."""
 
     def attempt_silent(self, attempt: "StreamAttempt") -> None:
-        """Learn that an attempt's group is silent; called repeatedly."""
+        """Learn that an attempt's target is silent; called repeatedly."""
 
     def attempt_produced(self, attempt: "StreamAttempt") -> None:
         """Learn that an attempt is about to write to the caller."""
 
 
 class StreamAttempt:
-    """Sends a stream's request to one group and forwards the events.
+    """Sends a stream's request to one place and forwards the events.
 
-    A group that falls silent may go on, so its connection is kept until the
+    A target that falls silent may go on, so its connection is kept until the
     deadline, or until the observer lets another attempt supersede this one.
     """
 
     def __init__(
         self,
         call: _runtime.Call,
-        place: _state.StreamPlacement,
+        place: _places.StreamPlace,
         progress: StreamProgress,
         observer: AttemptObserver | None = None,
     ) -> None:
-        """Take the group; nothing is sent yet."""
+        """Take the place; nothing is sent yet."""
         self._call = call
         self._state = call.runtime.state
         self._place = place
@@ -78,10 +70,10 @@
         self._observer = observer
         self._channel: _channel.Channel | None = None
         self._is_superseded = False
-        # Whether the group is silent, and may not go on.
+        # Whether the target is silent, and may not go on.
         self._is_silent = False
-        self._load = self._state.load_of(place.group.key)
-        # Prompt tokens that count as pending at the group.
+        self._load = place.load
+        # Prompt tokens that count as pending at the place.
         self._prefill_tokens = 0
         # When this attempt's response and its first event arrived.
         self.response_ms: clock.Millis | None = None
@@ -91,7 +83,7 @@
 
     @property
     def phase(self) -> _attempts.Phase:
-        """Return how far the group got."""
+        """Return how far the target got."""
         if self.first_event_ms is not None:
             return _attempts.Phase.WRITING
         if self.response_ms is not None:
@@ -100,27 +92,34 @@
 
     async def run(self) -> _Attempt:
         """Send the request and forward the response."""
+        runtime = self._call.runtime
+        started_ms = runtime.now_ms()
         prompt = self._call.request.prompt
         tokens = prompt.prompt_tokens if prompt else 0
         # Counted before the connection is opened, so that the placement of
         # concurrent requests takes it into account.
-        self._load.started(tokens, self._call.runtime.now_ms())
+        self._load.started(tokens, started_ms)
+        self._place.started()
         self._prefill_tokens = tokens
         if self._state.admission.record_request(
-            self._place.group.head, self._call.runtime.now_ms()
+            self._place.target, started_ms
         ):
-            self._call.runtime.metrics.count("permits_used")
+            runtime.metrics.count("permits_used")
+        attempt = None
         try:
             attempt = await self._connect_and_relay()
+            if self._is_superseded:
+                attempt = _Attempt(
+                    _Result.SUPERSEDED, "another attempt went on first"
+                )
+            return attempt
         finally:
             self._load.prefill_done(self._prefill_tokens)
             self._prefill_tokens = 0
             self._load.ended()
-        if self._is_superseded:
-            return _Attempt(
-                _Result.SUPERSEDED, "another attempt went on first"
-            )
-        return attempt
+            now_ms = runtime.now_ms()
+            latency_ms = (self.first_event_ms or now_ms) - started_ms
+            self._place.ended(attempt, latency_ms, now_ms)
 
     def supersede(self) -> None:
         """End this attempt, since another one writes to the caller."""
@@ -129,19 +128,16 @@
             self._channel.abort()
 
     async def _connect_and_relay(self) -> _Attempt:
-        runtime = self._call.runtime
-        head = self._place.group.head
         try:
             channel = await _channel.connect(
-                head.address,
+                self._place.target.address,
                 min(_attempts.CONNECT_TIMEOUT_MS, self._call.remaining_ms()),
             )
         except (_channel.ChannelReset, _channel.ChannelTimeout) as error:
-            self._load.suspect(runtime.now_ms())
-            self._state.suspects.add(head.id)
+            self._place.mark_unreachable(self._call.runtime.now_ms())
             return _Attempt(
                 _Result.UNREACHABLE,
-                f"connection to the group's head failed: {error!r}",
+                f"connection to the target failed: {error!r}",
             )
         self._channel = channel
         try:
@@ -155,13 +151,13 @@
     def _suspect_culprit(self, attempt: _Attempt) -> None:
         """Mark the target that a response names as the cause as a suspect."""
         culprit = attempt.head.failed_target_id if attempt.head else None
-        if culprit is not None and culprit != self._place.group.head.id:
+        if culprit is not None and culprit != self._place.target.id:
             self._state.suspects.add(culprit)
 
     async def _relay(self, channel: _channel.Channel) -> _Attempt:
         """Send the request and forward the events of its response."""
         call = self._call
-        withheld = call.withheld(self._place.group.head)
+        withheld = call.withheld(self._place.target)
         if withheld is not None:
             return withheld
         http = _http.ClientCall(channel)
@@ -170,7 +166,7 @@
         http.send(
             call.request.method,
             call.request.target,
-            call.target_headers(self._place.group.head, last_event_id),
+            call.target_headers(self._place.target, last_event_id),
             call.raw.body,
         )
         try:
@@ -179,7 +175,7 @@
                 return head
             answer = call.runtime.platform.decode_answer(head)
             call.observe_answer(
-                self._place.group.head, self._place.pool, answer, sent_ms
+                self._place.target, self._place.pool, answer, sent_ms
             )
             failed_attempt = _attempts.check_response_head(
                 call.request, answer
@@ -187,7 +183,7 @@
             if failed_attempt is not None:
                 return failed_attempt
             self.response_ms = call.runtime.now_ms()
-            if answer.status >= 300 or not _is_event_stream(head):
+            if answer.status >= 300 or not head.is_event_stream:
                 return await self._receive_response(http, answer)
             return await self._relay_events(http, answer, head.is_framed)
         except (_channel.ChannelReset, _http.ProtocolError) as error:
@@ -316,16 +312,14 @@
             load.prefill_done(self._prefill_tokens)
             self._prefill_tokens = 0
         elif not self._is_silent:
-            # A silence says nothing of how fast the group produces events.
-            predicted_ms = placing.pass_ms(
-                place.engine, place.model, load.load(now_ms).active
-            )
+            # A silence says nothing of how fast the target produces events.
+            predicted_ms = place.pass_ms(load.load(now_ms).active)
             load.observe_gap(now_ms - progress.last_event_ms, predicted_ms)
         if self._is_silent:
             self._is_silent = False
             self._call.log_event(
                 "attempt_resumed",
-                target=place.group.head.id,
+                **place.identity(),
                 silent_ms=now_ms - progress.last_event_ms,
             )
         load.record_own_event(now_ms)
@@ -352,6 +346,8 @@
         """Return the weight as evidence that the prompt crashes targets."""
         if not attempt.is_cut or self._has_settled:
             return 0
+        if self._place.incarnation is None:
+            return 0
         if self.phase is _attempts.Phase.BEGUN:
             return quarantine.BEGUN_WEIGHT
         if self.first_event_ms is not None:
@@ -383,12 +379,10 @@
                 self._check_progress()
 
     def _check_progress(self) -> None:
-        """Report a silence of the group to the coordinator and observer."""
+        """Report a silence of the target to the coordinator and observer."""
         load, place = self._load, self._place
         now_ms = self._call.runtime.now_ms()
-        pass_ms = placing.pass_ms(
-            place.engine, place.model, place.engine.slots
-        )
+        pass_ms = place.longest_pass_ms()
         if load.has_stalled(pass_ms, now_ms):
             if not self._is_silent:
                 self._is_silent = True
@@ -396,9 +390,7 @@
                 self._state.send_message_now = True
                 self._call.log_event(
                     "attempt_silent",
-                    target=place.group.head.id,
-                    group=place.group.entry.name,
-                    epoch=place.group.entry.epoch,
+                    **place.identity(),
                     lost=load.lost,
                     silent_ms=now_ms - self._progress.last_event_ms,
                 )
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -1,4 +1,4 @@
-"""Streams from model groups, resumed on another group where allowed."""
+"""Streams, resumed at another group or target where allowed."""
 
 import asyncio
 
@@ -8,12 +8,11 @@
 from quetzalward_core import errors
 from quetzalward_core import placing
 from quetzalward_core import quarantine
-from quetzalward_gateway import _admission
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _events
 from quetzalward_gateway import _permit_wait
+from quetzalward_gateway import _places
 from quetzalward_gateway import _runtime
-from quetzalward_gateway import _state
 from quetzalward_gateway import _stream_attempt
 
 # Interval at which an interrupted stream tries to find another group.
@@ -53,9 +52,10 @@
 
 
 class StreamExchange:
-    """Serves one caller's stream from one group after another.
+    """Serves one caller's stream from one place after another.
 
-    While a group is silent, another one is asked as well where the route
+    A place is a serving group, or a target of a service without groups.
+    While one is silent, another one is asked as well where the route
     allows it. The first one with a new event serves the caller from then on.
     """
 
@@ -63,13 +63,12 @@
         """Take an admitted call; nothing is sent yet."""
         self._call = call
         self._state = call.runtime.state
-        self._pool = _admission.pool_of(call.service, call.request.model or "")
+        self._placer = _places.placer_of(call)
         self._stream_id = self._state.next_stream_id(call.raw.received_ms)
         self._progress = _stream_attempt.StreamProgress(
             _events.EventSequence(call.request.last_event_id),
             call.raw.received_ms,
         )
-        self._tried_groups: set[_state.GroupKey] = set()
         self._executed_attempts = 0
         self._unexecuted_attempts = 0
         self._open_attempts: list[_stream_attempt.StreamAttempt] = []
@@ -86,8 +85,8 @@
             self._cancel_hedge()
 
     async def _serve(self) -> None:
-        self._call.record_first_send(self._pool)
-        last = _Attempt(_Result.NOT_RUN, "no group has been tried")
+        self._call.record_first_send(self._placer.pool)
+        last = _Attempt(_Result.NOT_RUN, "no target has been tried")
         while True:
             if self._call.remaining_ms() <= MIN_REMAINING_MS:
                 last = attrs.evolve(last, result=_Result.TIMEOUT)
@@ -121,8 +120,8 @@
                     break
         self._end_failed(last)
 
-    async def _find_place(self) -> _state.StreamPlacement | placing.Refusal:
-        """Return a group with room for the stream, or the refusal.
+    async def _find_place(self) -> _places.StreamPlace | placing.Refusal:
+        """Return a place with room for the stream, or the refusal.
 
         A stream that has been interrupted waits for one, at most
         `MAX_RESUME_WAIT_MS` after its last event.
@@ -130,7 +129,7 @@
         while True:
             now_ms = self._call.runtime.now_ms()
             place = await _permit_wait.place(
-                self._call, self._pool, self._choose
+                self._call, self._placer.pool, self._placer.choose
             )
             if not isinstance(place, placing.Refusal):
                 return place
@@ -140,26 +139,16 @@
                 return place
             if self._call.remaining_ms() <= MIN_REMAINING_MS:
                 return place
-            self._tried_groups.clear()
+            self._placer.forget_chosen()
             await asyncio.sleep(
                 RESUME_POLL_INTERVAL_MS / clock.MILLIS_PER_SECOND
             )
 
-    def _choose(self) -> _state.StreamPlacement | placing.Refusal:
-        return self._state.place_stream(
-            self._call.service,
-            self._call.request,
-            self._call.remaining_ms(),
-            self._tried_groups,
-            self._call.runtime.now_ms(),
-        )
-
-    async def _run_attempt(self, place: _state.StreamPlacement) -> _Outcome:
-        """Send the request to a group, and record how that ended."""
+    async def _run_attempt(self, place: _places.StreamPlace) -> _Outcome:
+        """Send the request to a place, and record how that ended."""
         attempt = _stream_attempt.StreamAttempt(
             self._call, place, self._progress, self
         )
-        self._tried_groups.add(place.group.key)
         self._open_attempts.append(attempt)
         try:
             last = await attempt.run()
@@ -181,7 +170,7 @@
     # Attempts beside a silent one.
 
     def attempt_silent(self, attempt: _stream_attempt.StreamAttempt) -> None:
-        """Ask another group as well, where that is allowed."""
+        """Ask at another place as well, where that is allowed."""
         now_ms = self._call.runtime.now_ms()
         if self._hedge is not None and not self._hedge.done():
             return
@@ -207,8 +196,10 @@
             self._cancel_hedge()
 
     async def _run_hedge(self) -> _Outcome | None:
-        """Send the request to another group; `None` if there is no place."""
-        place = await _permit_wait.place(self._call, self._pool, self._choose)
+        """Send the request to another place; `None` if there is none."""
+        place = await _permit_wait.place(
+            self._call, self._placer.pool, self._placer.choose
+        )
         if (
             isinstance(place, placing.Refusal)
             or self._is_blocked()
@@ -251,15 +242,13 @@
         elif last.result is not _Result.UNREACHABLE:
             self._executed_attempts += 1
 
-    def _record_crash(
-        self, place: _state.StreamPlacement, weight: int
-    ) -> None:
+    def _record_crash(self, place: _places.StreamPlace, weight: int) -> None:
         """Record that a target crashed before the answer had settled."""
-        target = f"{place.group.head.id}/{place.group.entry.epoch}"
+        assert place.incarnation is not None
         self._state.evidence.record_crash(
             quarantine.Crash(
                 self._stream_id,
-                target,
+                place.incarnation,
                 self._call.request.shared_parts,
                 weight,
                 self._call.runtime.now_ms(),
@@ -297,21 +286,16 @@
 
     # Completion and failure.
 
-    def _record_completion(self, place: _state.StreamPlacement) -> None:
+    def _record_completion(self, place: _places.StreamPlace) -> None:
         call = self._call
         first_ms = None
         if self._progress.first_event_ms is not None:
             first_ms = self._progress.first_event_ms - call.raw.received_ms
         call.log_event(
             "stream",
-            group=place.group.entry.name,
-            epoch=place.group.entry.epoch,
-            target=place.group.head.id,
-            predicted_ms=round(place.first_event_ms),
-            load=round(place.load, 1),
-            load_age_ms=place.load_age_ms,
-            limited_groups=place.limited_groups,
-            limit_per_s=self._state.target_limits.per_s(place.group.head.key),
+            **place.identity(),
+            **place.prediction(),
+            limit_per_s=self._state.target_limits.per_s(place.target.key),
             first_ms=first_ms,
             longest_pause_ms=self._progress.longest_gap_ms,
             parts=call.request.shared_parts,
@@ -326,26 +310,22 @@
 
     def _log_failure(
         self,
-        place: _state.StreamPlacement,
+        place: _places.StreamPlace,
         last: _Attempt,
         phase: _attempts.Phase,
     ) -> None:
-        entry = place.group.entry
-        load = self._state.load_of(place.group.key)
         self._call.runtime.metrics.count(
             "failed_attempts", f"{last.result.value}, {phase.value}"
         )
         self._call.log_event(
             "attempt_failed",
-            target=place.group.head.id,
-            group=entry.name,
-            epoch=entry.epoch,
+            **place.identity(),
             result=last.result.value,
             phase=phase.value,
             parts=self._call.request.shared_parts,
             reason=last.reason,
-            predicted_ms=round(place.first_event_ms),
-            group_active=load.active,
+            **place.prediction(),
+            active=place.load.active,
             silent_ms=self._call.runtime.now_ms()
             - self._progress.last_event_ms,
             last_event=self._progress.sequence.last_id,
@@ -353,7 +333,7 @@
 
     def _end_refused(self, refusal: placing.Refusal) -> None:
         refusal = self._state.final_refusal(
-            refusal, self._pool, self._call.runtime.now_ms()
+            refusal, self._placer.pool, self._call.runtime.now_ms()
         )
         if self._call.responder.started:
             self._abort(refusal.reason)
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -293,6 +293,11 @@
         self.refusals: list[errors.ErrorKind] = []
         self.limits: list[limits.LimitNotice | None] = []
 
+    @property
+    def is_stream(self) -> bool:
+        """Ask the route and the service, as the original does."""
+        return _runtime.Call.is_stream.fget(self)  # type: ignore
+
     def remaining_ms(self) -> clock.Millis:
         """Return the time until the deadline."""
         return 5_000
--- a/packages/gateway/tests/hostile_targets.py
+++ b/packages/gateway/tests/hostile_targets.py
@@ -20,7 +20,7 @@
 
     def __init__(self, script: Script) -> None:
         """Answer each connection with a script."""
-        self._script = script
+        self.script = script
         self.address = fleet.Address("127.0.0.1", 0)
         self.closed = asyncio.Event()
         self.sent_bytes = 0
@@ -30,7 +30,7 @@
     ) -> None:
         await reader.readuntil(b"\r\n\r\n")
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
-            await self._script(writer)
+            await self.script(writer)
         self.closed.set()
         writer.transport.abort()
 
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -24,6 +24,7 @@
 from quetzalward_gateway import _group_control
 from quetzalward_gateway import _node_reports
 from quetzalward_gateway import _permit_wait
+from quetzalward_gateway import _places
 from quetzalward_gateway import _plain
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
@@ -361,7 +362,7 @@
         )
         attempt = _stream_attempt.StreamAttempt(
             typing.cast(typing.Any, call),
-            place,
+            _places.GroupPlace(state, place),
             _stream_attempt.StreamProgress(_events.EventSequence(), 0),
         )
         last = await attempt.run()
--- a/packages/gateway/tests/test_stream_attempt.py
+++ b/packages/gateway/tests/test_stream_attempt.py
@@ -16,6 +16,7 @@
 from quetzalward_core import quarantine
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _events
+from quetzalward_gateway import _places
 from quetzalward_gateway import _state
 from quetzalward_gateway import _stream_attempt
 from quetzalward_gateway import _streaming
@@ -62,7 +63,7 @@
     async with target.running():
         stream = _stream_attempt.StreamAttempt(
             typing.cast(typing.Any, call),
-            place(target.address),
+            _places.GroupPlace(call.runtime.state, place(target.address)),
             _stream_attempt.StreamProgress(_events.EventSequence(), 0),
         )
         result = await stream.run()
@@ -199,7 +200,9 @@
             call = fakes.Call(attempt_id=b"")
             call.runtime = runtime
             exchange = _streaming.StreamExchange(typing.cast(typing.Any, call))
-            exchange._record_crash(place(fakes.ADDRESS), 2)
+            exchange._record_crash(
+                _places.GroupPlace(runtime.state, place(fakes.ADDRESS)), 2
+            )
             crash = call.runtime.state.evidence.crashes_since(0)[-1]
             requests.add(crash.request)
         self.assertEqual(3, len(requests))
--- a/packages/node/src/quetzalward_node/callers/_service_attempt.py
+++ b/packages/node/src/quetzalward_node/callers/_service_attempt.py
@@ -9,6 +9,7 @@
 from quetzalward_core import clock as clocks
 from quetzalward_core import config
 from quetzalward_core import errors
+from quetzalward_core import streams
 from quetzalward_node.callers import _connection
 from quetzalward_node.callers import _hops
 from quetzalward_node.callers import _meters
@@ -111,6 +112,9 @@
     sent: bool = False
     _status: int | None = None
     _connection: _targets.TargetConnection | None = None
+    _is_event_stream: bool = False
+    # The last bytes of the response.
+    _tail: bytes = b""
     _ended: bool = False
 
     def fetch(self) -> ServiceResponse:
@@ -135,6 +139,9 @@
         except _targets.TargetConnectionError as error:
             raise self._failure(False) from error
         self._status = response.status
+        self._is_event_stream = streams.is_event_stream(
+            response.headers.get("Content-Type", "")
+        )
         body = self._read_prefix(connection)
         return ServiceResponse(
             response.status,
@@ -152,7 +159,7 @@
         connection = self._connection
         while connection is not None:
             try:
-                data = connection.read(self._remaining_ms())
+                data = self._read(connection)
             except (
                 _targets.TargetTimeoutError,
                 _targets.TargetConnectionError,
@@ -227,7 +234,7 @@
         body = bytearray()
         try:
             while len(body) < RESPONSE_BUFFER_BYTES:
-                data = connection.read(self._remaining_ms())
+                data = self._read(connection)
                 if not data:
                     break
                 body += data
@@ -237,6 +244,19 @@
             raise self._failure(False) from error
         return bytes(body)
 
+    def _read(self, connection: _targets.TargetConnection) -> bytes:
+        """Return the next bytes of the response, empty at its end.
+
+        Raises `TargetConnectionError` if it ends within an event, because the
+        end of the connection may be all that ends it.
+        """
+        data = connection.read(self._remaining_ms())
+        self._tail = (self._tail + data)[-streams.EVENT_END_BYTES :]
+        is_cut = not data and not streams.ends_with_event(self._tail)
+        if is_cut and self._is_event_stream:
+            raise _targets.TargetConnectionError("ended within an event")
+        return data
+
     def _remaining_ms(self) -> int:
         return max(1, self.deadline_ms - self.parts.clock.now_ms())
 
--- a/packages/node/tests/fake_targets.py
+++ b/packages/node/tests/fake_targets.py
@@ -221,11 +221,14 @@
             self.close_connection = True
             return
         self.send_response(service.status)
-        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Type", service.content_type)
         self.send_header("X-Seen", self.path)
         self.send_header("Connection", "X-Internal")
         self.send_header("X-Internal", "not for callers")
-        self.send_header("Content-Length", str(len(service.answer)))
+        if service.has_length:
+            self.send_header("Content-Length", str(len(service.answer)))
+        else:
+            self.close_connection = True
         self.end_headers()
         if self.command != "HEAD":
             self.wfile.write(service.answer[: service.cut_at])
@@ -248,6 +251,8 @@
         self.peers: list[tuple[str, int]] = []
         self.status = 200
         self.answer = b"{}"
+        self.content_type = "application/json"
+        self.has_length = True
         self.cut_at: int | None = None
         self.drop = False
         self.stall = threading.Event()
--- a/packages/node/tests/test_callers_services.py
+++ b/packages/node/tests/test_callers_services.py
@@ -106,6 +106,21 @@
             self.call("POST", "/bookings", b"{}")
         self.assertTrue(self.front.router.wait_all_released())
 
+    def test_event_stream_that_breaks_off_is_detectable(self):
+        """The end of the connection ended an event like a whole body."""
+        self.start(callers_fakes.Service())
+        service = self.services[0]
+        service.content_type, service.has_length = "text/event-stream", False
+        event = b"data: x\n\n"
+        service.answer = event
+        self.assertEqual(event, self.call("GET", "/events")[2])
+        service.answer = event + event[:-1]
+        status, _, _ = self.call("GET", "/events")
+        self.assertEqual(502, status)
+        service.answer = event * 100_000 + event[:-1]
+        with self.assertRaises(http.client.IncompleteRead):
+            self.call("GET", "/events")
+
     def test_unknown_and_forbidden_services(self):
         self.start(callers_fakes.Service())
         south = {"Authorization": "Bearer key-south"}
