Let other tasks run while a peer sends bytes without end

Cause: reading a message waits only while nothing is at hand, so that a peer that sends small parts fast kept the event loop; and the splitter of events copied and searched all of an incomplete event for each part. One target of four stopped both nodes for up to 5.5 s at a time. Besides, a stream whose bytes complete no event never counted as silent, so that no other target was asked.

A stream without progress is checked like a silent one. The node's parser of events no longer searches from the start either.

Ruled out: the quadratic search alone; comments and plain bodies stop the node without it.

--- a/packages/core/src/quetzalward_core/streams/_sse.py
+++ b/packages/core/src/quetzalward_core/streams/_sse.py
@@ -37,9 +37,12 @@
         Raises `SseError` for invalid UTF-8 and for an event over
         `MAX_EVENT_BYTES`.
         """
+        # Each byte is searched once, or small parts take quadratic time.
+        searched = len(self._pending)
         self._pending += data
         events = []
-        while (end := self._pending.find(b"\n")) >= 0:
+        while (end := self._pending.find(b"\n", searched)) >= 0:
+            searched = 0
             line = bytes(self._pending[:end])
             del self._pending[: end + 1]
             event = self._parse_line(line.removesuffix(b"\r"))
--- a/packages/core/tests/test_streams.py
+++ b/packages/core/tests/test_streams.py
@@ -1,5 +1,6 @@
 """Tests of event ids, event framing and token positions."""
 
+import time
 import unittest
 
 import hypothesis
@@ -100,6 +101,19 @@
             streams.SseParser().feed(b"data: \xff\n")
 
 
+class SmallPartsTest(unittest.TestCase):
+    """Guards against work that grows with the square of the parts."""
+
+    def test_large_event_byte_by_byte(self):
+        parser = streams.SseParser()
+        began_s = time.thread_time()
+        for _ in range(250_000):
+            parser.feed(b"x")
+        # It took some seconds.
+        self.assertLess(time.thread_time() - began_s, 1.0)
+        self.assertEqual([], parser.feed(b"\n"))
+
+
 class TokenPositionsTest(unittest.TestCase):
     """Guards against lost, repeated and foreign tokens."""
 
--- a/packages/gateway/src/quetzalward_gateway/_events.py
+++ b/packages/gateway/src/quetzalward_gateway/_events.py
@@ -7,6 +7,8 @@
 _ID = b"id:"
 # A comment, or a field with its value.
 _LINE = re.compile(rb":|[a-z][a-z0-9-]*:|(?:data|event|id|retry)$")
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+_EVENT_END_BYTES = 4
 # Maximum size of one event. A target in trouble may send bytes without end
 # that never complete an event.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -31,13 +33,22 @@
     data: bytes
     id: str | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Tell whether the event has nothing but comments."""
+        lines = self.data.splitlines()
+        return all(line.startswith(b":") for line in lines if line)
+
 
 class EventSplitter:
     """Splits a body into complete events, each ended by an empty line."""
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self._buffer = b""
+        self._buffer = bytearray()
+        # No event ends before this position. Each byte is searched once, or a
+        # body in small parts would take quadratic time.
+        self._searched = 0
 
     @property
     def is_at_event_boundary(self) -> bool:
@@ -51,27 +62,17 @@
         """
         self._buffer += data
         events: list[Event] = []
-        while True:
-            end = _event_length(self._buffer)
-            if end < 0:
-                if len(self._buffer) > MAX_EVENT_BYTES:
-                    raise EventTooLarge(
-                        f"an event exceeds {MAX_EVENT_BYTES} bytes"
-                    )
-                return events
-            raw, self._buffer = self._buffer[:end], self._buffer[end:]
+        start = 0
+        for end in _EVENT_END.finditer(self._buffer, self._searched):
+            raw = bytes(self._buffer[start : end.end()])
             events.append(Event(raw, _event_id(raw)))
-
-
-def _event_length(data: bytes) -> int:
-    """Return the length of the first event, -1 if it is incomplete."""
-    lf_index = data.find(b"\n\n")
-    crlf_index = data.find(b"\r\n\r\n")
-    if lf_index < 0 and crlf_index < 0:
-        return -1
-    if crlf_index < 0 or 0 <= lf_index < crlf_index:
-        return lf_index + 2
-    return crlf_index + 4
+            start = end.end()
+        del self._buffer[:start]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLarge(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        # An end may lie across the parts.
+        self._searched = max(0, len(self._buffer) - _EVENT_END_BYTES + 1)
+        return events
 
 
 def _event_id(raw: bytes) -> str | None:
@@ -101,8 +102,7 @@
         if not all(_LINE.match(line) for line in lines):
             raise NotAnEvent(f"no event: {event.data[:80]!r}")
         if event.id is None:
-            is_comment = all(line.startswith(b":") for line in lines)
-            if not is_comment and (self.last_id or "").isdigit():
+            if not event.is_comment and (self.last_id or "").isdigit():
                 raise NotAnEvent(
                     f"no id, but the last event was {self.last_id}"
                 )
--- a/packages/gateway/src/quetzalward_gateway/_http.py
+++ b/packages/gateway/src/quetzalward_gateway/_http.py
@@ -10,6 +10,7 @@
 from quetzalward_core import fleet
 from quetzalward_core import streams
 from quetzalward_gateway import _channel
+from quetzalward_gateway import _pacing
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -58,9 +59,14 @@
 class ClientCall:
     """One request and its response on a connection."""
 
-    def __init__(self, channel: _channel.Channel) -> None:
+    def __init__(
+        self,
+        channel: _channel.Channel,
+        pacer: _pacing.Pacer | None = None,
+    ) -> None:
         """Use a connection on which no other request is in progress."""
         self._channel = channel
+        self._pacer = pacer or _pacing.Pacer()
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -69,6 +75,7 @@
         self, method: bytes, target: bytes, headers: Headers, body: bytes
     ) -> None:
         """Send a request; the headers must give the length of its body."""
+        self._pacer.restart()
         request = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(request) or b""
         if body:
@@ -157,13 +164,15 @@
     async def _next(self, timeout_ms: float) -> typing.Any:
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_ms / clock.MILLIS_PER_SECOND
+        await self._pacer.pause_if_due()
         try:
             while True:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
                 left_ms = (end_s - loop.time()) * clock.MILLIS_PER_SECOND
-                data = await self._channel.receive(left_ms)
+                with self._pacer.waiting():
+                    data = await self._channel.receive(left_ms)
                 self._http.receive_data(data)
                 if left_ms <= 0:
                     # Parts of an event keep coming in.
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -13,6 +13,7 @@
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _http
+from quetzalward_gateway import _pacing
 from quetzalward_gateway import _permit_wait
 from quetzalward_gateway import _runtime
 
@@ -279,7 +280,8 @@
     target: fleet.Target,
     channel: _channel.Channel,
 ) -> _Attempt:
-    http = _http.ClientCall(channel)
+    pacer = _pacing.Pacer(call.runtime.costly_work)
+    http = _http.ClientCall(channel, pacer)
     request = call.request
     sent_ms = call.runtime.now_ms()
     http.send(
--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -14,6 +14,7 @@
 from quetzalward_gateway import _http
 from quetzalward_gateway import _log
 from quetzalward_gateway import _metrics
+from quetzalward_gateway import _pacing
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _responses
 from quetzalward_gateway import _state
@@ -39,6 +40,7 @@
     store: _watched_store.WatchedStore
     # Set once the node stops.
     drain: draining.Drain | None = None
+    costly_work: _pacing.CostlyWork = attrs.field(factory=_pacing.CostlyWork)
     # The admitted requests that are under way.
     calls: set["Call"] = attrs.field(factory=set)
 
--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -13,6 +13,7 @@
 from quetzalward_core import clock
 from quetzalward_core import fleet
 from quetzalward_gateway import _channel
+from quetzalward_gateway import _pacing
 from quetzalward_gateway import _responses
 
 # Sent where the parser's state may not allow a response any more.
@@ -66,6 +67,7 @@
 
     channel: _channel.Channel
     http: h11.Connection
+    pacer: _pacing.Pacer
     phase: Phase = Phase.IDLE
     head: h11.Request | None = None
     responder: _responses.Responder | None = None
@@ -100,6 +102,7 @@
         self._limits = limits
         self._now_ms = now_ms
         self._on_ended = on_ended
+        self._costly_work = _pacing.CostlyWork()
         self._server: asyncio.Server | None = None
         self._connection_by_task: dict[asyncio.Task[None], _Connection] = {}
         self._idle_channels: set[_channel.Channel] = set()
@@ -150,7 +153,9 @@
             task.cancel()
 
     def _start_serving(self, channel: _channel.Channel) -> None:
-        connection = _Connection(channel, self._parser())
+        connection = _Connection(
+            channel, self._parser(), _pacing.Pacer(self._costly_work)
+        )
         task = asyncio.get_running_loop().create_task(
             self._serve_connection(connection)
         )
@@ -255,6 +260,7 @@
         """
         if not await self._await_input(connection):
             return None
+        connection.pacer.restart()
         # In force for the whole request.
         limits = self._limits()
         connection.phase = Phase.HEAD
@@ -332,6 +338,7 @@
         It must be complete within the timeout, also if its bytes keep coming
         in.
         """
+        await connection.pacer.pause_if_due()
         deadline_ms = self._now_ms() + timeout_ms
         while True:
             try:
@@ -344,7 +351,8 @@
             if left_ms <= 0:
                 raise _Rejected(408)
             try:
-                data = await connection.channel.receive(left_ms)
+                with connection.pacer.waiting():
+                    data = await connection.channel.receive(left_ms)
             except _channel.ChannelTimeout as error:
                 raise _Rejected(408) from error
             if not data:
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -11,12 +11,15 @@
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _events
 from quetzalward_gateway import _http
+from quetzalward_gateway import _pacing
 from quetzalward_gateway import _places
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
 
 # Interval at which a waiting stream checks whether its target has stalled.
 STALL_CHECK_INTERVAL_MS = 80
+# A part of a body that is split into events at once; it may hold a thousand.
+PART_BYTES = 4_096
 
 _Part = typing.TypeVar("_Part")
 _Attempt = _attempts.Attempt
@@ -75,6 +78,8 @@
         self._load = place.load
         # Prompt tokens that count as pending at the place.
         self._prefill_tokens = 0
+        self._pacer = _pacing.Pacer(call.runtime.costly_work)
+        self._next_check_ms: clock.Millis = 0
         # When this attempt's response and its first event arrived.
         self.response_ms: clock.Millis | None = None
         self.first_event_ms: clock.Millis | None = None
@@ -160,7 +165,7 @@
         withheld = call.withheld(self._place.target)
         if withheld is not None:
             return withheld
-        http = _http.ClientCall(channel)
+        http = _http.ClientCall(channel, self._pacer)
         last_event_id = self._progress.sequence.last_id
         sent_ms = call.runtime.now_ms()
         http.send(
@@ -239,7 +244,6 @@
         is_framed: bool,
     ) -> _Attempt:
         """Forward complete events as they arrive."""
-        progress = self._progress
         responder = self._call.responder
         splitter = _events.EventSplitter()
         while True:
@@ -250,19 +254,11 @@
                 return _Attempt(_Result.SUPERSEDED)
             if data is None:
                 break
-            events = splitter.feed(data)
-            if not events:
-                continue
-            self._record_event()
-            to_forward, error = self._accept(events)
-            if to_forward:
-                self._claim()
-                if not responder.started:
-                    progress.first_event_ms = progress.last_event_ms
-                    responder.start_stream(answer.status, answer.forwarded)
-                await responder.send_chunk(to_forward)
-            if error is not None:
-                return _Attempt(_Result.BROKEN, str(error))
+            for start in range(0, len(data), PART_BYTES):
+                events = splitter.feed(data[start : start + PART_BYTES])
+                failed = await self._forward_events(answer, events)
+                if failed is not None:
+                    return failed
         if not splitter.is_at_event_boundary:
             return _cut(_Result.BROKEN, "the stream ended within an event")
         if not is_framed and self.first_event_ms is None:
@@ -277,6 +273,33 @@
         responder.finish()
         return _Attempt(_Result.COMPLETE)
 
+    async def _forward_events(
+        self, answer: _ports.TargetAnswer, events: list[_events.Event]
+    ) -> _Attempt | None:
+        """Forward events; return the attempt if it cannot go on."""
+        if not events:
+            # The target is not silent, but makes no progress either.
+            self._check_progress_if_due()
+        else:
+            responder, progress = self._call.responder, self._progress
+            self._record_event()
+            to_forward, error = self._accept(events)
+            if to_forward:
+                self._claim()
+                if not responder.started:
+                    progress.first_event_ms = progress.last_event_ms
+                    responder.start_stream(answer.status, answer.forwarded)
+                with self._pacer.waiting():
+                    await responder.send_chunk(to_forward)
+                if not all(event.is_comment for event in events):
+                    self._pacer.record_progress()
+            if error is not None:
+                return _Attempt(_Result.BROKEN, str(error))
+        await self._pacer.pause_if_due()
+        if self._is_superseded:
+            return _Attempt(_Result.SUPERSEDED)
+        return None
+
     def _claim(self) -> None:
         """Let no other attempt write to the caller from now on."""
         if self._observer is not None:
@@ -378,6 +401,12 @@
             except _channel.ChannelTimeout:
                 self._check_progress()
 
+    def _check_progress_if_due(self) -> None:
+        now_ms = self._call.runtime.now_ms()
+        if now_ms >= self._next_check_ms:
+            self._next_check_ms = now_ms + STALL_CHECK_INTERVAL_MS
+            self._check_progress()
+
     def _check_progress(self) -> None:
         """Report a silence of the target to the coordinator and observer."""
         load, place = self._load, self._place
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -14,6 +14,7 @@
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _http
 from quetzalward_gateway import _metrics
+from quetzalward_gateway import _pacing
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _settings
@@ -206,6 +207,7 @@
     )
     calls: set[typing.Any] = attrs.field(factory=set)
     drain: None = None
+    costly_work: _pacing.CostlyWork = attrs.field(factory=_pacing.CostlyWork)
     _store: _watched_store.WatchedStore | None = None
 
     def now_ms(self) -> clock.Millis:
--- a/packages/gateway/tests/hostile_targets.py
+++ b/packages/gateway/tests/hostile_targets.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import struct
+import threading
 import typing
 
 from quetzalward_core import fleet
@@ -76,3 +77,37 @@
             await asyncio.sleep(pause_s)
 
     return HostileTarget(send)
+
+
+@contextlib.contextmanager
+def flood(head: bytes, block: bytes) -> typing.Iterator[fleet.Address]:
+    """Send a block without end, as fast as it is read, from a thread."""
+
+    def serve(connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65_536)
+            connection.sendall(head)
+            while not is_ended.is_set():
+                connection.sendall(block)
+
+    def accept() -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listener.accept()
+                connection.settimeout(0.5)
+                threads.append(
+                    threading.Thread(target=serve, args=[connection])
+                )
+                threads[-1].start()
+
+    is_ended = threading.Event()
+    threads = [threading.Thread(target=accept)]
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        threads[0].start()
+        try:
+            yield fleet.Address("127.0.0.1", listener.getsockname()[1])
+        finally:
+            is_ended.set()
+            listener.shutdown(socket.SHUT_RDWR)
+            for thread in threads:
+                thread.join()
