Send requests only to groups of their own service

Cause: the coordinator's list has the open groups of all services, and the nodes searched it by the model's name only. Where two services serve one model, requests of a route to one ran at the other. Besides, each service's coordinator names and numbers its groups alone, so that two services' groups shared load, suspicion, silence and log lines.

Change: the service of a group's head decides. In messages between nodes a label, the quoted service and the name, takes the place of the name; what nodes report is applied to that service only.

--- a/packages/core/src/quetzalward_core/coordination/__init__.py
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -5,6 +5,8 @@
 from quetzalward_core.coordination._election import first_number
 from quetzalward_core.coordination._election import LOW_CAPACITY_DELAY_MS
 from quetzalward_core.coordination._election import Term
+from quetzalward_core.coordination._group_labels import group_label
+from quetzalward_core.coordination._group_labels import split_group_label
 from quetzalward_core.coordination._limit_messages import DemandRow
 from quetzalward_core.coordination._limit_messages import LimitList
 from quetzalward_core.coordination._limit_messages import LimitReport
@@ -49,6 +51,8 @@
 from quetzalward_core.coordination._timing import restore_read_spread_ms
 
 __all__ = [
+    "group_label",
+    "split_group_label",
     "Backoff",
     "BlockRow",
     "ConfigurationCopy",
--- a/packages/core/src/quetzalward_core/coordination/_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_messages.py
@@ -22,6 +22,7 @@
 class GroupWork:
     """Requests at a group, from one node or from all nodes."""
 
+    # The group's label.
     group: str
     epoch: int
     active: float
@@ -86,7 +87,7 @@
 
 @attrs.frozen
 class GroupEntry:
-    """A group that accepts requests."""
+    """A group that accepts requests; its name is its label."""
 
     name: str
     epoch: int
@@ -166,11 +167,11 @@
     # Counts the changes of the list within a term.
     version: int
     open: tuple[GroupEntry, ...]
-    # Groups that finish running work and accept no more, by name and epoch.
+    # Groups that finish running work and accept no more, by label and epoch.
     closing: tuple[tuple[str, int], ...]
 
     def keys(self) -> list[tuple[str, int]]:
-        """Return name and epoch of all groups, in a fixed order."""
+        """Return label and epoch of all groups, in a fixed order."""
         return [(g.name, g.epoch) for g in self.open] + list(self.closing)
 
 
--- a/packages/gateway/src/quetzalward_gateway/_group_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_group_control.py
@@ -1,5 +1,7 @@
 """Runs the coordinators of the serving groups during a term."""
 
+import collections.abc
+
 from quetzalward_core import clock
 from quetzalward_core import coordination
 from quetzalward_core import grouping
@@ -31,8 +33,9 @@
         self._coordinator_by_service: dict[str, grouping.Coordinator] = {}
         self._term = 0
         self._groups = coordination.GroupList(0, (), ())
+        # By label.
         self._logged_phase_by_group: dict[str, tuple[int, str]] = {}
-        self._fleet_logged_ms = 0
+        self._fleet_logged_ms_by_service: dict[str, clock.Millis] = {}
 
     def begin_term(self, term: int) -> None:
         """Start without coordinators and with an empty group list."""
@@ -56,17 +59,20 @@
 
     def group_list(self) -> coordination.GroupList:
         """Return the groups; the version grows with each change."""
-        coordinators = self._coordinator_by_service.values()
+        coordinators = self._coordinator_by_service.items()
         entries = tuple(
             coordination.GroupEntry(
-                group.name, group.epoch, group.model, group.head
+                coordination.group_label(service, group.name),
+                group.epoch,
+                group.model,
+                group.head,
             )
-            for coordinator in coordinators
+            for service, coordinator in coordinators
             for group in coordinator.open_groups()
         )
         closing = tuple(
-            (group.name, group.epoch)
-            for coordinator in coordinators
+            (coordination.group_label(service, group.name), group.epoch)
+            for service, coordinator in coordinators
             for group in coordinator.closing_groups()
         )
         known = self._groups
@@ -82,36 +88,36 @@
         if configuration is None:
             return
         group_work = self._reports.total_work(now_ms)
-        producing = frozenset(
-            (work.group, work.epoch)
+        producing = _keys_by_service(
+            work
             for work in group_work
             if 0 <= work.event_age_ms < STALL_AGE_MS
         )
-        stalled = [
+        stalled = _keys_by_service(
             work
             for work in group_work
             if work.stalled
             and (work.event_age_ms < 0 or work.event_age_ms >= STALL_AGE_MS)
-        ]
+        )
         suspects = self._reports.suspects()
         for service in configuration.service_by_name.values():
             if service.engine is None:
                 continue
             coordinator = self._get_coordinator(service.name, now_ms)
             coordinator.configure(service.engine)
-            coordinator.set_producing_groups(producing)
+            coordinator.set_producing_groups(
+                frozenset(producing.get(service.name, ()))
+            )
             if self._reports.has_requests():
                 coordinator.record_traffic()
             self._update_targets(service.name, coordinator, now_ms)
             commands: list[grouping.Command] = []
-            for work in stalled:
-                commands += coordinator.handle_stall(
-                    work.group, work.epoch, now_ms
-                )
+            for name, epoch in stalled.get(service.name, ()):
+                commands += coordinator.handle_stall(name, epoch, now_ms)
             for target_id in suspects & coordinator.host_by_id.keys():
                 commands += coordinator.probe_suspect(target_id, now_ms)
             commands += coordinator.tick(now_ms)
-            self._log_phases(coordinator)
+            self._log_phases(service.name, coordinator)
             self._log_fleet(service.name, coordinator, now_ms)
             for command in commands:
                 self._sender.send(coordinator, command)
@@ -158,9 +164,10 @@
         coordinator: grouping.Coordinator,
         now_ms: clock.Millis,
     ) -> None:
-        if now_ms - self._fleet_logged_ms < FLEET_LOG_INTERVAL_MS:
+        logged_ms = self._fleet_logged_ms_by_service.get(service, 0)
+        if now_ms - logged_ms < FLEET_LOG_INTERVAL_MS:
             return
-        self._fleet_logged_ms = now_ms
+        self._fleet_logged_ms_by_service[service] = now_ms
         self._runtime.log.event(
             "fleet",
             service=service,
@@ -170,18 +177,33 @@
             spares=coordinator.spares_by_domain(),
         )
 
-    def _log_phases(self, coordinator: grouping.Coordinator) -> None:
+    def _log_phases(
+        self, service: str, coordinator: grouping.Coordinator
+    ) -> None:
         """Log each group whose phase or epoch has changed."""
         for group in coordinator.group_by_name.values():
+            label = coordination.group_label(service, group.name)
             phase = (group.epoch, group.phase.value)
-            if self._logged_phase_by_group.get(group.name) == phase:
+            if self._logged_phase_by_group.get(label) == phase:
                 continue
-            self._logged_phase_by_group[group.name] = phase
+            self._logged_phase_by_group[label] = phase
             self._runtime.log.event(
                 "group",
+                service=service,
                 group=group.name,
                 epoch=group.epoch,
                 phase=group.phase.value,
                 domain=group.domain,
                 members=list(group.members),
             )
+
+
+def _keys_by_service(
+    group_work: collections.abc.Iterable[coordination.GroupWork],
+) -> dict[str, list[tuple[str, int]]]:
+    """Return name and epoch of groups with work, by service."""
+    keys: dict[str, list[tuple[str, int]]] = {}
+    for work in group_work:
+        service, name = coordination.split_group_label(work.group)
+        keys.setdefault(service, []).append((name, work.epoch))
+    return keys
--- a/packages/gateway/src/quetzalward_gateway/_places.py
+++ b/packages/gateway/src/quetzalward_gateway/_places.py
@@ -5,6 +5,7 @@
 import attrs
 
 from quetzalward_core import clock
+from quetzalward_core import coordination
 from quetzalward_core import fleet
 from quetzalward_core import limits
 from quetzalward_core import placing
@@ -133,9 +134,10 @@
     def identity(self) -> dict[str, object]:
         """Return the group, its epoch and its head."""
         entry = self._placement.group.entry
+        _, name = coordination.split_group_label(entry.name)
         return {
             "target": self.target.id,
-            "group": entry.name,
+            "group": name,
             "epoch": entry.epoch,
         }
 
--- a/packages/gateway/src/quetzalward_gateway/_state.py
+++ b/packages/gateway/src/quetzalward_gateway/_state.py
@@ -24,6 +24,7 @@
 # One-way network latency between zones, for the choice of a group.
 CROSS_ZONE_LATENCY_MS = 1.5
 
+# Label and epoch.
 GroupKey = tuple[str, int]
 
 
@@ -36,7 +37,7 @@
 
     @property
     def key(self) -> GroupKey:
-        """Return the group's name and epoch."""
+        """Return the group's label and epoch."""
         return (self.entry.name, self.entry.epoch)
 
 
@@ -340,7 +341,9 @@
             if entry.model != model:
                 continue
             head = self.directory.get(entry.head)
-            if head is not None:
+            # The coordinator lists the groups of all services, and several
+            # services may serve a model of the same name.
+            if head is not None and head.service == service:
                 groups.append(OpenGroup(entry, head))
         return groups
 
@@ -368,10 +371,11 @@
                 and membership.rank == 0
                 and membership.state is fleet.MemberState.OPEN
             ):
+                label = coordination.group_label(service, membership.group)
                 model = grouping.model_of(membership.group)
                 entries.append(
                     coordination.GroupEntry(
-                        membership.group, membership.epoch, model, target.id
+                        label, membership.epoch, model, target.id
                     )
                 )
         return entries
@@ -431,21 +435,21 @@
         responsive = [
             g for g in groups if not self.load_of(g.key).check_requested
         ]
-        group_by_name = {
+        group_by_label = {
             group.entry.name: group for group in responsive or groups
         }
         choice = placing.choose_group(
             engine,
             model,
             prompt,
-            [self._candidate(g, now_ms) for g in group_by_name.values()],
+            [self._candidate(g, now_ms) for g in group_by_label.values()],
             remaining_ms,
             self._rng,
             self._load_age_ms(now_ms),
         )
         if isinstance(choice, placing.Refusal):
             return choice
-        group = group_by_name[choice.group]
+        group = group_by_label[choice.group]
         load = self.load_of(group.key)
         age_ms = (
             None
