Bound the memory of all answers that are being received

Cause: an answer that is buffered was bounded, all answers together were not, and a body was kept as a list of its parts. A target that sends bytes without end, to some dozens of requests at once, took more than a node has. The node's group manager read reports and answers to orders until the engine closed.

Change: a body is one buffer. `_memory.AnswerMemory` gives up the largest answer when all together hold more than a fifth of `limits.memoryMb`. Connections buffer 64 KiB; reports and answers to orders have bounds of their own, in the node also on the time of the whole answer.

--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -10,6 +10,7 @@
 from quetzalward_gateway import _coordinator_task
 from quetzalward_gateway import _exchange
 from quetzalward_gateway import _log
+from quetzalward_gateway import _memory
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _operations
 from quetzalward_gateway import _ports
@@ -41,7 +42,13 @@
             platform.store, log, _runtime.boot_ms
         )
         self.runtime = _runtime.Runtime(
-            platform, state, time_source, log, _metrics.Metrics(), store
+            platform,
+            state,
+            time_source,
+            log,
+            _metrics.Metrics(),
+            store,
+            answer_memory=_memory.AnswerMemory(settings.memory_bytes),
         )
         self._callers = _server.CallerServer(
             self._handle,
--- a/packages/gateway/src/quetzalward_gateway/_channel.py
+++ b/packages/gateway/src/quetzalward_gateway/_channel.py
@@ -9,7 +9,7 @@
 
 # Reading pauses while more is buffered, so that a fast sender cannot exhaust
 # the memory.
-HIGH_WATER_BYTES = 262_144
+HIGH_WATER_BYTES = 65_536
 # A host that has failed acknowledges nothing; the kernel closes a connection
 # with unacknowledged data after this time.
 USER_TIMEOUT_MS = 5_000
@@ -105,7 +105,7 @@
         return str(name[0]) if name else ""
 
     async def receive(self, timeout_ms: float | None = None) -> bytes:
-        """Return received bytes, or `b""` after a clean close.
+        """Return some received bytes, or `b""` after a clean close.
 
         Raises `ChannelReset` if the connection was lost and
         `ChannelTimeout` if nothing was received within `timeout_ms`.
@@ -113,11 +113,10 @@
         if not self._buffer and not self._received_eof and not self.lost:
             await self._wait_for_input(timeout_ms)
         if self._buffer:
-            data = bytes(self._buffer)
-            self._buffer.clear()
-            if self._is_reading_paused and self._transport and not self.lost:
-                self._is_reading_paused = False
-                self._transport.resume_reading()
+            data = bytes(self._buffer[:HIGH_WATER_BYTES])
+            del self._buffer[:HIGH_WATER_BYTES]
+            if self._is_reading_paused and not self._buffer:
+                self._resume_reading()
             return data
         if self._received_eof:
             return b""
@@ -125,6 +124,11 @@
             raise ChannelReset(str(self._error or "connection closed"))
         raise ChannelTimeout
 
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self.lost:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
     async def _wait_for_input(self, timeout_ms: float | None) -> None:
         loop = asyncio.get_running_loop()
         self._read_waiter = loop.create_future()
--- a/packages/gateway/src/quetzalward_gateway/_commands.py
+++ b/packages/gateway/src/quetzalward_gateway/_commands.py
@@ -12,6 +12,9 @@
 # A healthy target answers a probe in milliseconds; an order may have to wait.
 ORDER_TIMEOUT_MS = 1_200
 PROBE_TIMEOUT_MS = 250
+# Reports and answers to orders are some kilobytes; decoding one that is far
+# larger would take memory and time.
+MAX_REPORT_BYTES = 1024 * 1024
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -60,6 +63,7 @@
                 b"",
                 PROBE_TIMEOUT_MS,
                 reuse=False,
+                max_body_bytes=MAX_REPORT_BYTES,
             )
             report = runtime.platform.decode_report(answer)
             if report is not None:
@@ -109,6 +113,7 @@
                 body,
                 ORDER_TIMEOUT_MS,
                 reuse=False,
+                max_body_bytes=MAX_REPORT_BYTES,
             )
             result = runtime.platform.decode_order_answer(answer.status)
         except _http.CallFailed as error:
--- a/packages/gateway/src/quetzalward_gateway/_events.py
+++ b/packages/gateway/src/quetzalward_gateway/_events.py
@@ -55,6 +55,11 @@
         """Tell whether the buffer holds no incomplete event."""
         return not self._buffer.strip()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Event]:
         """Add a part of the body; return the events that it completes.
 
--- a/packages/gateway/src/quetzalward_gateway/_http.py
+++ b/packages/gateway/src/quetzalward_gateway/_http.py
@@ -10,6 +10,7 @@
 from quetzalward_core import fleet
 from quetzalward_core import streams
 from quetzalward_gateway import _channel
+from quetzalward_gateway import _memory
 from quetzalward_gateway import _pacing
 
 Headers = list[tuple[bytes, bytes]]
@@ -122,26 +123,28 @@
         self,
         remaining_ms: typing.Callable[[], float],
         max_bytes: int = MAX_BODY_BYTES,
+        holding: _memory.Holding | None = None,
     ) -> bytes:
         """Return the whole body.
 
         `remaining_ms` returns the time left, which also ends a body without
-        end. Raises as `read_head` does, and `ProtocolError` if the body is
-        larger than `max_bytes`.
+        end. Raises as `read_head` does, `ProtocolError` if the body is larger
+        than `max_bytes`, and `AnswerEvicted`.
         """
-        parts: list[bytes] = []
-        size = 0
+        # One buffer: a list of small parts takes many times their size.
+        body = bytearray()
         while True:
             left_ms = remaining_ms()
             if left_ms <= 0:
                 raise _channel.ChannelTimeout
             part = await self.read_data(left_ms)
             if part is None:
-                return b"".join(parts)
-            size += len(part)
-            if size > max_bytes:
+                return bytes(body)
+            if len(body) + len(part) > max_bytes:
                 raise ProtocolError(f"the body exceeds {max_bytes} bytes")
-            parts.append(part)
+            body += part
+            if holding is not None:
+                holding.resize(len(body))
 
     def has_trailing_data(self) -> bool:
         """Tell whether bytes follow the response."""
@@ -209,6 +212,7 @@
         body: bytes,
         timeout_ms: float,
         reuse: bool = True,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> Response:
         """Send a request and return its response.
 
@@ -224,7 +228,7 @@
             if all(name != b"host" for name, _ in headers):
                 all_headers.insert(0, (b"host", str(address).encode()))
             call.send(method.encode(), target.encode(), all_headers, body)
-            response = await self._receive(call, deadline_ms)
+            response = await self._receive(call, deadline_ms, max_body_bytes)
         except _channel.ChannelTimeout as error:
             channel.abort()
             raise CallFailed(
@@ -268,7 +272,11 @@
             ) from error
         return channel, ClientCall(channel)
 
-    async def _receive(self, call: ClientCall, deadline_ms: float) -> Response:
+    async def _receive(
+        self, call: ClientCall, deadline_ms: float, max_body_bytes: int
+    ) -> Response:
         head = await call.read_head(deadline_ms - self._now_ms())
-        body = await call.read_body(lambda: deadline_ms - self._now_ms())
+        body = await call.read_body(
+            lambda: deadline_ms - self._now_ms(), max_body_bytes
+        )
         return Response(head.status, head.headers, body)
--- a/packages/gateway/src/quetzalward_gateway/_plain.py
+++ b/packages/gateway/src/quetzalward_gateway/_plain.py
@@ -13,6 +13,7 @@
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _http
+from quetzalward_gateway import _memory
 from quetzalward_gateway import _pacing
 from quetzalward_gateway import _permit_wait
 from quetzalward_gateway import _runtime
@@ -299,7 +300,8 @@
         answer = call.runtime.platform.decode_answer(head)
         pool = _admission.pool_of(call.service)
         call.observe_answer(target, pool, answer, sent_ms)
-        body = await http.read_body(remaining_ms)
+        with call.runtime.answer_memory.holding(channel.abort) as holding:
+            body = await http.read_body(remaining_ms, holding=holding)
         if head.is_event_stream and not streams.ends_with_event(body):
             return _Attempt(
                 _Result.BROKEN, "the response ended within an event"
@@ -312,6 +314,8 @@
         return _Attempt(
             _Result.BROKEN, f"incomplete or invalid response: {error}"
         )
+    except _memory.AnswerEvicted as error:
+        return _Attempt(_Result.BROKEN, str(error))
     return _attempts.check_response_head(request, answer) or _Attempt(
         _Result.ANSWERED, "", answer, body
     )
--- a/packages/gateway/src/quetzalward_gateway/_runtime.py
+++ b/packages/gateway/src/quetzalward_gateway/_runtime.py
@@ -13,6 +13,7 @@
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _http
 from quetzalward_gateway import _log
+from quetzalward_gateway import _memory
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _pacing
 from quetzalward_gateway import _ports
@@ -40,6 +41,9 @@
     store: _watched_store.WatchedStore
     # Set once the node stops.
     drain: draining.Drain | None = None
+    answer_memory: _memory.AnswerMemory = attrs.field(
+        factory=_memory.AnswerMemory
+    )
     costly_work: _pacing.CostlyWork = attrs.field(factory=_pacing.CostlyWork)
     # The admitted requests that are under way.
     calls: set["Call"] = attrs.field(factory=set)
--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -278,8 +278,7 @@
                 status_code=100, headers=[]
             )
             connection.channel.write(http.send(continue_response) or b"")
-        parts: list[bytes] = []
-        body_bytes = 0
+        body = bytearray()
         while True:
             event = await self._next_event(
                 connection, limits.header_timeout_ms
@@ -288,15 +287,14 @@
                 break
             if not isinstance(event, h11.Data):
                 raise _Rejected(400)
-            body_bytes += len(event.data)
-            if body_bytes > limits.body_bytes:
+            if len(body) + len(event.data) > limits.body_bytes:
                 raise _Rejected(413)
-            parts.append(bytes(event.data))
+            body += event.data
         return _responses.RawRequest(
             head.method,
             head.target,
             list(head.headers),
-            b"".join(parts),
+            bytes(body),
             received_ms,
         )
 
--- a/packages/gateway/src/quetzalward_gateway/_settings.py
+++ b/packages/gateway/src/quetzalward_gateway/_settings.py
@@ -4,6 +4,7 @@
 
 from quetzalward_core import clock
 from quetzalward_core import fleet
+from quetzalward_gateway import _memory
 
 
 @attrs.frozen
@@ -51,3 +52,5 @@
     # Number of nodes assumed until the coordinator has counted them.
     nodes: int = 8
     metrics: fleet.Address | None = None
+    # Memory that the process may use.
+    memory_bytes: int = _memory.DEFAULT_PROCESS_BYTES
--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -11,6 +11,7 @@
 from quetzalward_gateway import _channel
 from quetzalward_gateway import _events
 from quetzalward_gateway import _http
+from quetzalward_gateway import _memory
 from quetzalward_gateway import _pacing
 from quetzalward_gateway import _places
 from quetzalward_gateway import _ports
@@ -187,27 +188,33 @@
             if failed_attempt is not None:
                 return failed_attempt
             self.response_ms = call.runtime.now_ms()
-            if answer.status >= 300 or not head.is_event_stream:
-                return await self._receive_response(http, answer)
-            return await self._relay_events(http, answer, head.is_framed)
+            memory = call.runtime.answer_memory
+            with memory.holding(channel.abort) as holding:
+                if answer.status >= 300 or not head.is_event_stream:
+                    return await self._receive_response(http, answer, holding)
+                return await self._relay_events(
+                    http, answer, head.is_framed, holding
+                )
         except (_channel.ChannelReset, _http.ProtocolError) as error:
             return _cut(
                 _Result.BROKEN, f"incomplete or invalid response: {error}"
             )
-        except _events.EventTooLarge as error:
+        except (_events.EventTooLarge, _memory.AnswerEvicted) as error:
             return _Attempt(_Result.BROKEN, str(error))
         except _events.EventGap as error:
             return _Attempt(_Result.GAP, str(error))
 
     async def _receive_response(
-        self, http: _http.ClientCall, answer: _ports.TargetAnswer
+        self,
+        http: _http.ClientCall,
+        answer: _ports.TargetAnswer,
+        holding: _memory.Holding,
     ) -> _Attempt:
         """Receive a response that is an error or no event stream.
 
         Forwards it unless it is an error or the stream has been started.
         """
-        parts = []
-        size = 0
+        buffer = bytearray()
         while True:
             part = await self._receive_part(http.read_data)
             if isinstance(part, _Attempt):
@@ -216,13 +223,13 @@
                 return _Attempt(_Result.SUPERSEDED)
             if part is None:
                 break
-            size += len(part)
-            if size > _http.MAX_BODY_BYTES:
+            buffer += part
+            if len(buffer) > _http.MAX_BODY_BYTES:
                 raise _http.ProtocolError(
                     f"the body exceeds {_http.MAX_BODY_BYTES} bytes"
                 )
-            parts.append(part)
-        body = b"".join(parts)
+            holding.resize(len(buffer))
+        body = bytes(buffer)
         if answer.status < 300 and not self._call.responder.started:
             self._claim()
             self._call.responder.send_response(
@@ -241,6 +248,7 @@
         http: _http.ClientCall,
         answer: _ports.TargetAnswer,
         is_framed: bool,
+        holding: _memory.Holding,
     ) -> _Attempt:
         """Forward complete events as they arrive."""
         responder = self._call.responder
@@ -255,6 +263,7 @@
                 break
             for start in range(0, len(data), PART_BYTES):
                 events = splitter.feed(data[start : start + PART_BYTES])
+                holding.resize(splitter.buffered_bytes)
                 failed = await self._forward_events(answer, events)
                 if failed is not None:
                     return failed
--- a/packages/gateway/tests/fakes.py
+++ b/packages/gateway/tests/fakes.py
@@ -13,6 +13,7 @@
 from quetzalward_core import notices
 from quetzalward_gateway import _attempts
 from quetzalward_gateway import _http
+from quetzalward_gateway import _memory
 from quetzalward_gateway import _metrics
 from quetzalward_gateway import _pacing
 from quetzalward_gateway import _ports
@@ -207,6 +208,9 @@
     )
     calls: set[typing.Any] = attrs.field(factory=set)
     drain: None = None
+    answer_memory: _memory.AnswerMemory = attrs.field(
+        factory=_memory.AnswerMemory
+    )
     costly_work: _pacing.CostlyWork = attrs.field(factory=_pacing.CostlyWork)
     _store: _watched_store.WatchedStore | None = None
 
--- a/packages/node/src/quetzalward_node/groups/_http.py
+++ b/packages/node/src/quetzalward_node/groups/_http.py
@@ -1,6 +1,7 @@
 """HTTP client of the engines."""
 
 import json
+import time
 import typing
 
 import logbook
@@ -13,6 +14,9 @@
 _LOG = logbook.Logger("groups.http")
 CONNECT_TIMEOUT_MS = 500
 REPORT_TIMEOUT_MS = 1_000
+# Reports and answers to orders are some kilobytes.
+MAX_ANSWER_BYTES = 65_536
+_READ_BYTES = 8_192
 _POOL_SIZE = 8
 _MAX_POOLS = 64
 
@@ -81,14 +85,12 @@
     def report(self, engine_url: str) -> _platform.EngineReport | None:
         """Return an engine's report, or `None` if none was received."""
         try:
-            response = self._pool.request(
-                "GET",
-                f"{engine_url}/report",
-                timeout=_timeout(REPORT_TIMEOUT_MS),
+            status, body = self._call(
+                "GET", f"{engine_url}/report", None, REPORT_TIMEOUT_MS
             )
-            if response.status != 200:
+            if status != 200:
                 return None
-            return parse_report(json.loads(response.data))
+            return parse_report(json.loads(body))
         except (urllib3.exceptions.HTTPError, OSError):
             return None
         except (ValueError, KeyError, TypeError) as error:
@@ -102,23 +104,58 @@
     ) -> _platform.OrderAnswer:
         """Send an order, without retries."""
         try:
-            response = self._pool.request(
+            status, body = self._call(
                 "POST",
                 f"{engine_url}/orders",
-                body=json.dumps(order_document(order)).encode(),
-                headers={"Content-Type": "application/json"},
-                timeout=_timeout(agreement.ORDER_TIMEOUT_MS),
+                json.dumps(order_document(order)).encode(),
+                agreement.ORDER_TIMEOUT_MS,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return _platform.OrderAnswer(0, str(error))
-        if response.status < 300:
-            return _platform.OrderAnswer(response.status)
+        if status < 300:
+            return _platform.OrderAnswer(status)
         try:
-            document = json.loads(response.data)
+            document = json.loads(body)
             return _platform.OrderAnswer(
-                response.status,
+                status,
                 str(document.get("error", "")),
                 str(document.get("host", "")),
             )
         except (ValueError, AttributeError):
-            return _platform.OrderAnswer(response.status)
+            return _platform.OrderAnswer(status)
+
+    def _call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        timeout_ms: clocks.Millis,
+    ) -> tuple[int, bytes]:
+        """Return status and body of an answer.
+
+        Raises `OSError` or an error of urllib3, also if the answer is too
+        long or takes too long as a whole: a time-out of the socket holds for
+        one read, and an engine in trouble may send bytes without end.
+        """
+        end_s = time.monotonic() + timeout_ms / clocks.MILLIS_PER_SECOND
+        response = self._pool.request(
+            method,
+            url,
+            body=body,
+            headers={"Content-Type": "application/json"} if body else None,
+            timeout=_timeout(timeout_ms),
+            preload_content=False,
+        )
+        received = bytearray()
+        try:
+            while part := response.read1(_READ_BYTES):
+                received += part
+                if len(received) > MAX_ANSWER_BYTES:
+                    raise OSError(f"more than {MAX_ANSWER_BYTES} bytes")
+                if time.monotonic() > end_s:
+                    raise TimeoutError(f"not whole within {timeout_ms} ms")
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return response.status, bytes(received)
