Keep planning and serving beside a service that cannot be planned

Cause: an engine without models made `_add_spares` take the minimum of an empty table. The error ended the coordinator's task and its process, and the next coordinator met the same configuration. A process on its way out went on answering kept connections with 503, because a connection that is with a request outlives the one cancellation it gets.

Change: an engine without models plans nothing. Each service's planning, each step of a round and the reading of each topic stand alone; an error is logged once with its trace (`step_failed`), counted (`faults`) and leaves out that step only. A node that ends lets no connection outlive its answer.

--- a/packages/core/src/quetzalward_core/grouping/_domain_plan.py
+++ b/packages/core/src/quetzalward_core/grouping/_domain_plan.py
@@ -86,6 +86,8 @@
     A remainder goes to the model with the larger groups, because more hosts
     are idle while one of its groups waits for a load.
     """
+    if not size_by_model:
+        return {}
     wanted = {n: size * groups.get(n, 0) for n, size in size_by_model.items()}
     extra = dict.fromkeys(size_by_model, 0)
     for _ in range(spares):
--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -145,12 +145,16 @@
         done, _ = await asyncio.wait(
             [*tasks, stop_task], return_when=asyncio.FIRST_COMPLETED
         )
-        for task in done:
-            if task is not stop_task:
-                # The tasks run until cancelled, so one that ends has failed;
-                # its error ends the process, which is then restarted.
-                task.result()
-        await self._drain()
+        try:
+            for task in done:
+                if task is not stop_task:
+                    # The tasks run until cancelled, so one that ends has
+                    # failed; its error ends the process, which is restarted.
+                    task.result()
+            await self._drain()
+        finally:
+            # A kept connection would hold a process whose tasks are gone.
+            self._callers.end_all()
         for task in tasks:
             task.cancel()
         log.event("stop", in_flight=self._callers.in_flight)
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -9,6 +9,7 @@
 from quetzalward_core import coordination
 from quetzalward_core import fleet
 from quetzalward_gateway import _configuration_exchange
+from quetzalward_gateway import _faults
 from quetzalward_gateway import _group_control
 from quetzalward_gateway import _limit_control
 from quetzalward_gateway import _node_reports
@@ -55,6 +56,7 @@
         self._targets = targets
         self._runtime = runtime
         self._settings = settings
+        self._faults = _faults.FaultLog(runtime.log, runtime.metrics)
         self._quarantine = _quarantine_control.QuarantineControl(
             runtime, settings.node
         )
@@ -99,19 +101,36 @@
             if not self._runtime.state.directory.complete:
                 continue
             now_ms = self._runtime.now_ms()
-            self._terms.election.node_count = self._runtime.state.node_count
-            self._terms.check(now_ms)
-            self._follow_term()
-            if self.is_holder:
-                self._groups.run(now_ms)
-                interval_ms = self._runtime.state.message_interval_ms()
-                self._quarantine.run(now_ms, interval_ms)
-                self._limits.run(self._terms.number, now_ms, interval_ms)
-            self._send_due(now_ms)
-            if self.is_holder:
-                self._send_grants(now_ms)
-            elif self._runtime.state.report_demand_now:
-                self._send_limit_report(now_ms)
+            for step in (
+                self._check_term,
+                self._coordinate,
+                self._send_due,
+                self._send_limit_messages,
+            ):
+                try:
+                    step(now_ms)
+                except Exception as error:
+                    self._faults.record(step.__name__.strip("_"), error)
+
+    def _check_term(self, now_ms: clock.Millis) -> None:
+        self._terms.election.node_count = self._runtime.state.node_count
+        self._terms.check(now_ms)
+        self._follow_term()
+
+    def _coordinate(self, now_ms: clock.Millis) -> None:
+        """Decide what is this node's to decide while it holds the term."""
+        if not self.is_holder:
+            return
+        interval_ms = self._runtime.state.message_interval_ms()
+        self._groups.run(now_ms)
+        self._quarantine.run(now_ms, interval_ms)
+        self._limits.run(self._terms.number, now_ms, interval_ms)
+
+    def _send_limit_messages(self, now_ms: clock.Millis) -> None:
+        if self.is_holder:
+            self._send_grants(now_ms)
+        elif self._runtime.state.report_demand_now:
+            self._send_limit_report(now_ms)
 
     def _follow_term(self) -> None:
         """Begin or end coordinating when a term has begun or ended."""
--- a/packages/gateway/src/quetzalward_gateway/_follower.py
+++ b/packages/gateway/src/quetzalward_gateway/_follower.py
@@ -7,6 +7,7 @@
 
 from quetzalward_core import clock
 from quetzalward_core import coordination
+from quetzalward_gateway import _faults
 from quetzalward_gateway import _ports
 from quetzalward_gateway import _runtime
 
@@ -82,6 +83,7 @@
         self._backoff = coordination.Backoff(FIRST_RETRY_MS, RETRY_FACTOR)
         self._last_read_sent_ms = 0
         self._logged_failure = ""
+        self._faults = _faults.FaultLog(runtime.log, runtime.metrics)
 
     @property
     def offset(self) -> int:
@@ -117,6 +119,14 @@
             except _ports.StoreError as error:
                 await self._handle_store_error(error)
                 continue
+            except Exception as error:
+                # Records were applied in part, so that all are read again.
+                self._faults.record(f"follow {self._topic}", error)
+                self._offset = None
+                await self._handle_store_error(
+                    _ports.StoreError(f"records could not be applied: {error}")
+                )
+                continue
             self._record_success()
             await self._pause()
 
--- a/packages/gateway/src/quetzalward_gateway/_group_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_group_control.py
@@ -4,8 +4,10 @@
 
 from quetzalward_core import clock
 from quetzalward_core import coordination
+from quetzalward_core import fleet
 from quetzalward_core import grouping
 from quetzalward_gateway import _commands
+from quetzalward_gateway import _faults
 from quetzalward_gateway import _node_reports
 from quetzalward_gateway import _runtime
 from quetzalward_gateway import _settings
@@ -29,6 +31,7 @@
         self._runtime = runtime
         self._settings = settings
         self._reports = reports
+        self._faults = _faults.FaultLog(runtime.log, runtime.metrics)
         self._sender = _commands.CommandSender(runtime)
         self._coordinator_by_service: dict[str, grouping.Coordinator] = {}
         self._term = 0
@@ -104,24 +107,48 @@
             if service.engine is None:
                 continue
             coordinator = self._get_coordinator(service.name, now_ms)
-            coordinator.configure(service.engine)
             coordinator.set_producing_groups(
                 frozenset(producing.get(service.name, ()))
             )
-            if self._reports.has_requests():
-                coordinator.record_traffic()
-            self._update_targets(service.name, coordinator, now_ms)
-            commands: list[grouping.Command] = []
-            for name, epoch in stalled.get(service.name, ()):
-                commands += coordinator.handle_stall(name, epoch, now_ms)
-            for target_id in suspects & coordinator.host_by_id.keys():
-                commands += coordinator.probe_suspect(target_id, now_ms)
-            commands += coordinator.tick(now_ms)
-            self._log_phases(service.name, coordinator)
-            self._log_fleet(service.name, coordinator, now_ms)
+            try:
+                commands = self._plan(
+                    service,
+                    service.engine,
+                    coordinator,
+                    stalled.get(service.name, ()),
+                    suspects,
+                    now_ms,
+                )
+            except Exception as error:
+                self._faults.record(f"plan {service.name}", error)
+                continue
             for command in commands:
                 self._sender.send(coordinator, command)
 
+    def _plan(
+        self,
+        service: fleet.Service,
+        engine: fleet.Engine,
+        coordinator: grouping.Coordinator,
+        stalled: collections.abc.Iterable[tuple[str, int]],
+        suspects: collections.abc.Set[str],
+        now_ms: clock.Millis,
+    ) -> list[grouping.Command]:
+        """Return the commands of one service's coordinator."""
+        coordinator.configure(engine)
+        if self._reports.has_requests():
+            coordinator.record_traffic()
+        self._update_targets(service.name, coordinator, now_ms)
+        commands: list[grouping.Command] = []
+        for name, epoch in stalled:
+            commands += coordinator.handle_stall(name, epoch, now_ms)
+        for target_id in suspects & coordinator.host_by_id.keys():
+            commands += coordinator.probe_suspect(target_id, now_ms)
+        commands += coordinator.tick(now_ms)
+        self._log_phases(service.name, coordinator)
+        self._log_fleet(service.name, coordinator, now_ms)
+        return commands
+
     def _get_coordinator(
         self, service: str, now_ms: clock.Millis
     ) -> grouping.Coordinator:
