Wait at a planned stop until answers are sent

Cause: a stop waited until no request was with its handler, which ends when the answer is in the connection's buffer. What the kernel had not taken was cut off with the process.

Change: the stop also waits until no connection has bytes to send, within the grace; what the end of the grace cuts off is logged.

Evidence: test_slow_callers on the commit before: a caller who takes 8 MB at 2.2 MB/s got 6.2 MB; whole now, and a caller that reads nothing does not hold the process beyond the grace.

--- a/packages/gateway/src/quetzalward_gateway/_app.py
+++ b/packages/gateway/src/quetzalward_gateway/_app.py
@@ -175,7 +175,10 @@
         )
 
     async def _drain(self) -> None:
-        """Answer the requests in flight, and end them with the grace time."""
+        """Answer the requests in flight, and end them with the grace time.
+
+        An answer counts as such once its last byte is sent.
+        """
         drain = draining.Drain(
             self.runtime.now_ms(), self._settings.bounds.grace_ms
         )
@@ -194,8 +197,15 @@
             if not answered and now_ms >= drain.answer_ms:
                 answered = True
                 self._callers.end_unanswered()
-            if idle_closed and not self._callers.in_flight:
+            if not idle_closed or self._callers.in_flight:
+                continue
+            if not self._callers.unsent:
                 return
+        self.runtime.log.event(
+            "drain_ended",
+            in_flight=self._callers.in_flight,
+            unsent=self._callers.unsent,
+        )
         self._callers.end_all()
         await asyncio.sleep(_DRAIN_POLL_S)
 
--- a/packages/gateway/src/quetzalward_gateway/_channel.py
+++ b/packages/gateway/src/quetzalward_gateway/_channel.py
@@ -29,9 +29,15 @@
     def __init__(
         self,
         on_open: collections.abc.Callable[["Channel"], None] | None = None,
+        on_close: collections.abc.Callable[["Channel"], None] | None = None,
     ) -> None:
-        """Start unconnected; `on_open` is called with the open channel."""
+        """Start unconnected.
+
+        `on_open` and `on_close` are called with the channel once it is open,
+        and once all is sent or the connection is lost.
+        """
         self._on_open = on_open
+        self._on_close = on_close
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._read_waiter: asyncio.Future[None] | None = None
@@ -79,6 +85,8 @@
         self._wake_writer()
         if self.on_lost is not None:
             self.on_lost()
+        if self._on_close is not None:
+            self._on_close(self)
 
     def pause_writing(self) -> None:
         """Make `drain` wait: the write buffer is full."""
@@ -96,6 +104,13 @@
         """Tell whether received bytes are buffered."""
         return bool(self._buffer)
 
+    @property
+    def has_output(self) -> bool:
+        """Tell whether bytes wait to be sent, also once it is closing."""
+        if self._transport is None or self.lost:
+            return False
+        return self._transport.get_write_buffer_size() > 0
+
     @property
     def peer_ip(self) -> str:
         """Return the IP address of the peer, empty if it is unknown."""
--- a/packages/gateway/src/quetzalward_gateway/_server.py
+++ b/packages/gateway/src/quetzalward_gateway/_server.py
@@ -106,6 +106,8 @@
         self._server: asyncio.Server | None = None
         self._connection_by_task: dict[asyncio.Task[None], _Connection] = {}
         self._idle_channels: set[_channel.Channel] = set()
+        # Also those whose task has ended, until all is sent.
+        self._open_channels: set[_channel.Channel] = set()
         self._is_draining = False
         self._is_closing = False
         self._is_ending = False
@@ -114,7 +116,9 @@
         """Start listening on an address."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _channel.Channel(self._start_serving),
+            lambda: _channel.Channel(
+                self._start_serving, self._open_channels.discard
+            ),
             address.host,
             address.port,
             backlog=512,
@@ -125,6 +129,14 @@
         """Return the number of connections that are not idle."""
         return len(self._connection_by_task) - len(self._idle_channels)
 
+    @property
+    def unsent(self) -> int:
+        """Return the number of connections with bytes that wait to be sent.
+
+        The request is no longer in flight then, as its response is written.
+        """
+        return sum(channel.has_output for channel in self._open_channels)
+
     def drain(self) -> None:
         """Close each connection after its next response."""
         self._is_draining = True
@@ -153,6 +165,7 @@
             task.cancel()
 
     def _start_serving(self, channel: _channel.Channel) -> None:
+        self._open_channels.add(channel)
         connection = _Connection(
             channel, self._parser(), _pacing.Pacer(self._costly_work)
         )
