Keep prompts at plain services out of the evidence on crashing parts

A target without a model crashes under no prompt, so that it may not vouch for one, and nothing is gained by refusing one.

--- a/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
+++ b/packages/gateway/src/quetzalward_gateway/_stream_attempt.py
@@ -368,6 +368,9 @@
         if self._has_settled or self.response_ms is None:
             return
         self._has_settled = True
+        if self._place.incarnation is None:
+            # A target without a model says nothing of the prompt.
+            return
         self._state.evidence.record_sound(
             self._call.request.shared_parts,
             self.response_ms,
--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -258,6 +258,8 @@
 
     def _is_suspect(self) -> bool:
         """Tell whether targets crashed under a part of the prompt before."""
+        if self._call.service.engine is None:
+            return False
         now_ms = self._call.runtime.now_ms()
         return any(
             part in self._state.quarantine.suspects
@@ -266,6 +268,9 @@
         )
 
     def _is_blocked(self) -> bool:
+        """Tell whether a part of the prompt must not reach a model."""
+        if self._call.service.engine is None:
+            return False
         parts = self._call.request.shared_parts
         return self._state.quarantine.blocking(parts) is not None
 
--- a/packages/gateway/tests/test_plain_streams.py
+++ b/packages/gateway/tests/test_plain_streams.py
@@ -12,6 +12,7 @@
 
 from quetzalward_core import errors
 from quetzalward_core import fleet
+from quetzalward_core import quarantine
 from quetzalward_gateway import _exchange
 from quetzalward_gateway import _http
 
@@ -138,6 +139,32 @@
                 self.assertEqual(["2"], call.asked_from)
                 self.assertEqual(b"".join(EVENTS[2:]), call.responder.body)
 
+    async def test_prompts_that_crash_models_are_served(self) -> None:
+        """A service without a model neither blocks a part nor clears it."""
+        whole = hostile_targets.broken_off(HEAD + WHOLE, False)
+        with (
+            mock.patch.object(
+                quarantine.Quarantine, "blocking", return_value="p"
+            ),
+            mock.patch.object(quarantine.EvidenceLog, "record_sound") as sound,
+        ):
+            call = await self.serve(whole)
+        self.assertEqual(WHOLE, call.responder.body)
+        sound.assert_not_called()
+        framed = WHOLE.join(
+            [
+                HEAD.replace(b"\r\n\r\n", b"\r\nContent-Length: %d\r\n\r\n")
+                % len(WHOLE),
+                b"",
+            ]
+        )
+        with mock.patch.object(
+            quarantine.EvidenceLog, "record_sound"
+        ) as sound:
+            call = await self.serve(hostile_targets.broken_off(framed, False))
+        self.assertTrue(call.responder.finished)
+        sound.assert_not_called()
+
     async def test_latency_is_that_of_the_whole_stream(self) -> None:
         """By the time to the first event, one target of two got all."""
 
