--- a/packages/gateway/tests/test_faults.py
+++ b/packages/gateway/tests/test_faults.py
@@ -8,22 +8,17 @@
 import unittest
 from unittest import mock
 
-import attrs
 import fakes
+import node_process
 
-from quetzalward_core import fleet
 from quetzalward_gateway import _app
 from quetzalward_gateway import _coordinator_task
-from quetzalward_gateway import _exchange
-from quetzalward_gateway import _operations
 from quetzalward_gateway import _responses
 from quetzalward_gateway import _runtime
-from quetzalward_gateway import _target_entries
 
 # A node that does not end is ended, and the test fails.
 MAX_END_S = 20.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-ANY_PORT = fleet.Address("127.0.0.1", 0)
 
 
 class CoordinatorTest(unittest.IsolatedAsyncioTestCase):
@@ -90,38 +85,20 @@
     def test_kept_connections_end_with_the_node(self) -> None:
         """The request under way is answered, and no other one."""
         self.answers: list[bytes] = []
-        settings = attrs.evolve(
-            fakes.settings(), callers=ANY_PORT, readiness=ANY_PORT
-        )
-        node = _app.Node(settings, typing.cast(typing.Any, fakes.Platform()))
-
-        async def fail(_: object) -> None:
-            server = node._callers._server
-            assert server is not None
-            port = server.sockets[0].getsockname()[1]
-            thread = threading.Thread(target=self.call, args=[port])
-            thread.start()
-            threads.append(thread)
+        threads: list[threading.Thread] = []
+
+        async def fail(node: _app.Node, port: int) -> None:
+            threads.append(threading.Thread(target=self.call, args=[port]))
+            threads[0].start()
             while not node._callers.in_flight:
                 await asyncio.sleep(0.02)
             await asyncio.sleep(0.1)
             raise RuntimeError("no handler expects this")
 
-        async def follow(_: object) -> None:
-            await asyncio.sleep(MAX_END_S)
-
-        threads: list[threading.Thread] = []
         faulthandler.dump_traceback_later(MAX_END_S, exit=True)
-        with (
-            mock.patch.object(_coordinator_task.CoordinatorTask, "run", fail),
-            mock.patch.object(_operations.OperationsFollower, "run", follow),
-            mock.patch.object(_target_entries.TargetsFollower, "run", follow),
-            mock.patch.object(_exchange, "handle", self.handle),
-            self.assertRaises(RuntimeError),
-        ):
-            asyncio.run(node.run())
-        for thread in threads:
-            thread.join()
+        with self.assertRaises(RuntimeError):
+            node_process.run(self.handle, fail)
+        threads[0].join()
         faulthandler.cancel_dump_traceback_later()
         self.assertEqual(1, len(self.answers))
         self.assertIn(b"503", self.answers[0])
--- a/packages/gateway/tests/test_slow_callers.py
+++ b/packages/gateway/tests/test_slow_callers.py
@@ -6,24 +6,14 @@
 import socket
 import threading
 import time
-import typing
 import unittest
-from unittest import mock
 
-import attrs
-import fakes
+import node_process
 
-from quetzalward_core import fleet
 from quetzalward_gateway import _app
-from quetzalward_gateway import _coordinator_task
-from quetzalward_gateway import _exchange
-from quetzalward_gateway import _operations
 from quetzalward_gateway import _responses
 from quetzalward_gateway import _runtime
-from quetzalward_gateway import _settings
-from quetzalward_gateway import _target_entries
 
-ANY_PORT = fleet.Address("127.0.0.1", 0)
 GRACE_MS = 5_000
 BODY = b"x" * 8_000_000
 # A whole answer takes 3.6 s, more than half of the grace.
@@ -76,52 +66,22 @@
         """Stop a node beside callers; return how long it took in seconds."""
         self.received: list[int] = []
         self.has_sent = threading.Semaphore(0)
-        settings = attrs.evolve(
-            fakes.settings(),
-            callers=ANY_PORT,
-            readiness=ANY_PORT,
-            bounds=_settings.Bounds(grace_ms=GRACE_MS),
-        )
-        node = _app.Node(settings, typing.cast(typing.Any, fakes.Platform()))
         threads: list[threading.Thread] = []
         signalled_s = 0.0
 
-        async def follow(_: object) -> None:
-            await asyncio.sleep(3_600.0)
-
-        async def signal_after_requests(_: object) -> None:
+        async def signal_after_requests(node: _app.Node, port: int) -> None:
             nonlocal signalled_s
-            server = node._callers._server
-            assert server is not None
-            listener = server.sockets[0]
-            # Otherwise the kernel takes all of an answer.
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
-            port = listener.getsockname()[1]
             for path in paths:
-                threads.append(
-                    threading.Thread(
-                        target=self.read, args=[port, path, pause_s]
-                    )
-                )
+                args = [port, path, pause_s]
+                threads.append(threading.Thread(target=self.read, args=args))
                 threads[-1].start()
             for _path in paths:
                 await asyncio.to_thread(self.has_sent.acquire)
             await asyncio.sleep(0.2)
             signalled_s = time.monotonic()
             os.kill(os.getpid(), signal.SIGTERM)
-            await follow(_)
-
-        with (
-            mock.patch.object(
-                _coordinator_task.CoordinatorTask,
-                "run",
-                signal_after_requests,
-            ),
-            mock.patch.object(_operations.OperationsFollower, "run", follow),
-            mock.patch.object(_target_entries.TargetsFollower, "run", follow),
-            mock.patch.object(_exchange, "handle", self.handle),
-        ):
-            asyncio.run(node.run())
+
+        node_process.run(self.handle, signal_after_requests, GRACE_MS)
         took_s = time.monotonic() - signalled_s
         for thread in threads:
             thread.join()
