Consider all parts of a prompt as the cause of crashes

Cause: `part_ids` kept the first 64 parts, for evidence and for blocks. The part was in no report, and those before it were rightly not blamed.

Change: no part is left out. In that case all requests have one path, customer and body; a request that is answered in between explains no crashes, and one that was answered before is blocked only after a second trial.

--- a/packages/core/src/quetzalward_core/quarantine/_correlator.py
+++ b/packages/core/src/quetzalward_core/quarantine/_correlator.py
@@ -53,6 +53,8 @@
 # Targets whose crash is explained by a block; the oldest are forgotten.
 MAX_EXPLAINED_TARGETS = 1_024
 
+_SoundTable = dict[str, clock.Millis]
+
 
 @attrs.define
 class _Run:
@@ -84,15 +86,21 @@
             and len({c.request for c in self.crashes}) >= MIN_REQUESTS
         )
 
-    def is_explained_by_repeats(self) -> bool:
-        """Tell whether a few requests that came again explain the crashes."""
+    def is_explained_by_repeats(self, sound_ms_by_trait: _SoundTable) -> bool:
+        """Tell whether a few requests that came again explain the crashes.
+
+        One that was answered since is no explanation.
+        """
         arrivals_by_trait: dict[str, set[str]] = {}
         traits_by_target: dict[str, set[str]] = {}
         for crash in self.crashes:
             known = traits_by_target.setdefault(crash.target, set())
             for trait in crash.repeats:
-                known.add(trait)
-                arrivals_by_trait.setdefault(trait, set()).add(crash.request)
+                sound_ms = sound_ms_by_trait.get(trait)
+                if sound_ms is None or sound_ms <= crash.at_ms:
+                    known.add(trait)
+                    arrivals = arrivals_by_trait.setdefault(trait, set())
+                    arrivals.add(crash.request)
         if set.intersection(*traits_by_target.values()):
             return True
         repeated = {t for t, ids in arrivals_by_trait.items() if len(ids) > 1}
@@ -251,7 +259,9 @@
         for part, run in run_by_trait.items():
             if _traits.is_request(part):
                 continue
-            if not run.is_repeated() or run.is_explained_by_repeats():
+            if not run.is_repeated() or run.is_explained_by_repeats(
+                self._sound_ms_by_trait
+            ):
                 continue
             has_settled = part in self._sound_ms_by_trait
             chance_log = self._chance_log(run, now_ms)
--- a/packages/core/src/quetzalward_core/quarantine/_holds.py
+++ b/packages/core/src/quetzalward_core/quarantine/_holds.py
@@ -51,6 +51,11 @@
     trial: _Trial | None = None
     trials: int = 0
     noisy_trials: int = 0
+    # Conclusive trials that crashed their target.
+    failed_trials: int = 0
+    # Whether it was answered before. Requests that differ by more than what
+    # makes them repeats, such as the parts of their prompts, look like that.
+    has_settled: bool = False
 
     @property
     def service(self) -> str:
@@ -114,6 +119,7 @@
         for request in {**known, **crashes_by_request}:
             held = known.get(request) or _Held({})
             sound_ms = evidence.sound_ms(request) or 0
+            held.has_settled = sound_ms > 0
             held.update(
                 crashes_by_request.get(request, ()),
                 max(sound_ms, now_ms - _evidence.MAX_AGE_MS),
@@ -157,7 +163,8 @@
         if self._is_noisy(held.service, crashes, now_ms):
             held.noisy_trials += 1
             return False
-        return True
+        held.failed_trials += 1
+        return held.failed_trials > held.has_settled
 
     def _end_trial(self, held: _Held, is_crash: bool) -> None:
         if held.trial is not None:
--- a/packages/core/src/quetzalward_core/quarantine/_traits.py
+++ b/packages/core/src/quetzalward_core/quarantine/_traits.py
@@ -5,12 +5,10 @@
 """
 
 import hashlib
-import itertools
 import typing
 
-# Parts of one prompt that are considered, and the longest id that is not
-# replaced by a digest: callers choose both, and messages must hold them.
-MAX_PARTS = 64
+# Longer ids of parts are replaced by a digest: callers choose them, and
+# messages must hold them.
 MAX_ID_CHARS = 16
 _DIGEST_BYTES = MAX_ID_CHARS // 2
 # No part's id contains a colon, which ends it in the header.
@@ -18,9 +16,11 @@
 
 
 def part_ids(names: typing.Iterable[str]) -> tuple[str, ...]:
-    """Return ids of bounded length and number for the parts of a prompt."""
-    ids = itertools.islice(dict.fromkeys(names), MAX_PARTS)
-    return tuple(_part_id(name) for name in ids)
+    """Return ids of bounded length for the parts of a prompt, each once.
+
+    The size of a request's head limits their number.
+    """
+    return tuple(_part_id(name) for name in dict.fromkeys(names))
 
 
 def _part_id(name: str) -> str:
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -214,6 +214,9 @@
                 ("p",),
                 (coordination.BlockRow(("p", "q"), True),),
             ),
+            coordination.HoldView("a", 3, ("request:1", "request:2")),
+            coordination.TrialRequest("b", 3, "request:1"),
+            coordination.TrialGrant("a", 3, "request:1"),
             *builders.limit_messages(),
         ):
             data = coordination.encode(message)
@@ -276,6 +279,9 @@
         rows = [
             ["crashes", "b", 3, [["r", "t", ["p"], 2, 1]], [], [], []],
             ["quarantine", "a", 3, ["p"], [[["p"], True]]],
+            ["holds", "a", 3, ["p"]],
+            ["trial-request", "a", 3, "p"],
+            ["trial", "a", 3, "p"],
         ]
         for row in rows:
             coordination.decode(json.dumps(row).encode())
--- a/packages/gateway/tests/test_quarantine_control.py
+++ b/packages/gateway/tests/test_quarantine_control.py
@@ -130,6 +130,30 @@
         assert view is not None
         self.assertLess(len(coordination.encode(view)), 60_000)
 
+    def test_evidence_of_long_prompts_arrives(self) -> None:
+        """Each report fits into a datagram, and none is left out for good."""
+        evidence = self.first.runtime.state.evidence
+        parts = [f"{n:016x}" for n in range(700)]
+        for number in range(12):
+            evidence.record_sound(parts, self.now_ms)
+            evidence.record_crash(
+                quarantine.Crash(
+                    f"r{number}",
+                    f"t{number}/1",
+                    (*parts, "bad"),
+                    2,
+                    self.now_ms,
+                )
+            )
+        reported = set()
+        for _ in range(20):
+            self.now_ms += 150
+            report = self.first.control.report(1, self.now_ms)
+            assert report is not None
+            self.assertLess(len(coordination.encode(report)), 60_000)
+            reported |= {crash.request for crash in report.crashes}
+        self.assertEqual(12, len(reported))
+
     def test_next_holder_learns_of_blocks_that_are_not_saved(self) -> None:
         """The holder may end before the store has the block."""
         self.block()
