Refuse a call at the product's node after three replicas crashed under it

What callers saw: within one arrival, three replicas at most were sent a call under which replicas end; each repeat of it by its caller ended three more.

Cause: as in the gateway, each attempt was charged to its replica and nothing to the request.

Change: a node remembers, by customer, method, path and body, how many times in a row a replica ended its connection before an answer. From the third one on it refuses the request at once (prompt_blocked, not run), and sends it once more after a minute, three times at most; an answer clears it.

--- a/packages/core/src/quetzalward_core/quarantine/__init__.py
+++ b/packages/core/src/quetzalward_core/quarantine/__init__.py
@@ -6,6 +6,7 @@
 from quetzalward_core.quarantine._evidence import Crash
 from quetzalward_core.quarantine._evidence import EvidenceLog
 from quetzalward_core.quarantine._evidence import SETTLED_MS
+from quetzalward_core.quarantine._guard import RequestGuard
 from quetzalward_core.quarantine._quarantine import Block
 from quetzalward_core.quarantine._quarantine import MAX_BLOCKS
 from quetzalward_core.quarantine._quarantine import Quarantine
@@ -22,6 +23,7 @@
     "EvidenceLog",
     "MAX_BLOCKS",
     "Quarantine",
+    "RequestGuard",
     "SETTLED_MS",
     "is_request",
     "part_ids",
--- a/packages/core/tests/quarantine/test_quarantine.py
+++ b/packages/core/tests/quarantine/test_quarantine.py
@@ -299,6 +299,42 @@
         self.assertEqual((self.SAME,), correlator.held)
 
 
+class RequestGuardTest(unittest.TestCase):
+    """Guards against repeats at one node, and refusals without end."""
+
+    def setUp(self) -> None:
+        """Let three targets crash under a request."""
+        self.guard = quarantine.RequestGuard()
+        for _ in range(3):
+            self.assertTrue(self.guard.admits("r", 1_000))
+            self.guard.record_crash("r", 1_000)
+
+    def test_trial_comes_after_a_pause_and_alone(self) -> None:
+        """It frees the request if it is answered."""
+        self.assertFalse(self.guard.admits("r", 60_999))
+        self.assertTrue(self.guard.admits("r", 61_000))
+        self.assertFalse(self.guard.admits("r", 200_000))
+        self.guard.record_answer("r")
+        self.assertTrue(self.guard.admits("r", 200_000))
+
+    def test_three_trials_at_most(self) -> None:
+        """Whether they crash a target or end otherwise."""
+        admitted = 0
+        for now_ms in range(0, 3_600_000, 10_000):
+            if self.guard.admits("r", now_ms):
+                admitted += 1
+                if admitted == 2:
+                    self.guard.record_crash("r", now_ms)
+                self.guard.end_trial("r")
+        self.assertEqual(3, admitted)
+
+    def test_memory_is_bounded(self) -> None:
+        """Callers may send ever new requests."""
+        for n in range(10_000):
+            self.guard.record_crash(f"r{n}", 2_000)
+        self.assertTrue(self.guard.admits("r", 2_000))
+
+
 class RequestTraitTest(unittest.TestCase):
     """Guards against repeats that are not recognized, or mixed up."""
 
--- a/packages/node/src/quetzalward_node/callers/_server.py
+++ b/packages/node/src/quetzalward_node/callers/_server.py
@@ -12,6 +12,7 @@
 from quetzalward_node import _problems
 from quetzalward_node.callers import _cancels
 from quetzalward_node.callers import _connection_manager
+from quetzalward_node.callers import _crashes
 from quetzalward_node.callers import _http
 from quetzalward_node.callers import _meters
 from quetzalward_node.callers import _relay
@@ -167,6 +168,7 @@
         tracing: telemetries.Tracing,
         secret: bytes,
     ) -> _routes.Parts:
+        crashes = _crashes.CrashGuard(self._clock)
         drafts = _stream.Parts(
             dispatcher,
             self._connections,
@@ -175,6 +177,7 @@
             tracing,
             self._meters,
             self._relay,
+            crashes,
         )
         service_parts = _service_attempt.Parts(
             services,
@@ -184,6 +187,7 @@
             self._clock,
             tracing,
             self._meters,
+            crashes,
         )
         # Derives a separate key, since the cluster's secret has other uses.
         label = b"quetzalward event ids\0"
--- a/packages/node/src/quetzalward_node/callers/_service_attempt.py
+++ b/packages/node/src/quetzalward_node/callers/_service_attempt.py
@@ -9,8 +9,10 @@
 from quetzalward_core import clock as clocks
 from quetzalward_core import config
 from quetzalward_core import errors
+from quetzalward_core import quarantine
 from quetzalward_core import streams
 from quetzalward_node.callers import _connection
+from quetzalward_node.callers import _crashes
 from quetzalward_node.callers import _hops
 from quetzalward_node.callers import _meters
 from quetzalward_node.callers import _targets
@@ -33,6 +35,7 @@
     clock: clocks.Clock
     tracing: telemetry.Tracing
     meters: _meters.Meters
+    crashes: _crashes.CrashGuard
 
 
 @attrs.frozen
@@ -54,6 +57,17 @@
     interruption: _watch.Interruption | None
     span: trace.Span
 
+    @property
+    def trait(self) -> str:
+        """Return what the request shares with its repeats."""
+        return quarantine.request_trait(
+            self.customer,
+            self.exchange.method.encode("latin-1", "replace"),
+            self.name,
+            self.target.encode("latin-1", "replace"),
+            self.exchange.body or b"",
+        )
+
     @property
     def target(self) -> str:
         """Return path and query as sent to the service."""
--- a/packages/node/src/quetzalward_node/callers/_services.py
+++ b/packages/node/src/quetzalward_node/callers/_services.py
@@ -78,6 +78,14 @@
                 self._record_internal_error(started_call)
 
     def _run_attempts(self, deliver: _Deliver) -> None:
+        crashes, trait = self.parts.crashes, self.request.trait
+        crashes.check(trait)
+        try:
+            self._run_unblocked(deliver, trait)
+        finally:
+            crashes.end(trait)
+
+    def _run_unblocked(self, deliver: _Deliver, trait: str) -> None:
         excluded: frozenset[str] = frozenset()
         last_failure: _service_attempt.CallFailedError | None = None
         cut_attempts = 0
@@ -90,15 +98,19 @@
                 self._end_without_retry(last_failure, deliver)
                 return
             try:
-                self._run_attempt(grant, deliver)
+                self._run_attempt(grant, deliver, trait)
                 return
             except _service_attempt.CallFailedError as failure:
                 last_failure = failure
+            if _is_crash(last_failure) and not self._interrupted:
+                self.parts.crashes.record_crash(trait)
             excluded |= {grant.target_id}
             if last_failure.sent and last_failure.response is None:
                 cut_attempts += 1
             retry = not last_failure.sent or (
-                self.request.repeatable and cut_attempts < MAX_CUT_ATTEMPTS
+                self.request.repeatable
+                and cut_attempts < MAX_CUT_ATTEMPTS
+                and not self.parts.crashes.is_suspect(trait)
             )
             if not retry or self._interrupted or not self.parts.may_retry():
                 self._end_without_retry(last_failure, deliver)
@@ -135,7 +147,9 @@
         finally:
             span.end()
 
-    def _run_attempt(self, grant: interfaces.Grant, deliver: _Deliver) -> None:
+    def _run_attempt(
+        self, grant: interfaces.Grant, deliver: _Deliver, trait: str
+    ) -> None:
         timeout_ms = self.request.service.timeout_ms
         attempt = _service_attempt.ServiceAttempt(
             self.parts,
@@ -152,6 +166,7 @@
         result = _Result.FAILED
         try:
             response = attempt.fetch()
+            self.parts.crashes.record_answer(trait)
             if response.complete:
                 attempt.end(_Result.OK)
             if self.request.repeatable and response.complete:
@@ -309,3 +324,12 @@
                 error.kind, error.detail, outcome=errors.Outcome.UNKNOWN
             )
         return error
+
+
+def _is_crash(failure: _service_attempt.CallFailedError) -> bool:
+    """Tell whether a target that had the request ended its connection."""
+    return (
+        failure.sent
+        and failure.response is None
+        and failure.error.kind is errors.ErrorKind.TARGET_FAILED
+    )
--- a/packages/node/src/quetzalward_node/callers/_stream.py
+++ b/packages/node/src/quetzalward_node/callers/_stream.py
@@ -8,9 +8,11 @@
 from quetzalward_core import clock as clocks
 from quetzalward_core import config
 from quetzalward_core import errors
+from quetzalward_core import quarantine
 from quetzalward_core import streams
 from quetzalward_node.callers import _cancels
 from quetzalward_node.callers import _chunks
+from quetzalward_node.callers import _crashes
 from quetzalward_node.callers import _drafts
 from quetzalward_node.callers import _engine
 from quetzalward_node.callers import _exceptions
@@ -45,6 +47,7 @@
     tracing: telemetry.Tracing
     meters: _meters.Meters
     loop: _relay.RelayLoop
+    crashes: _crashes.CrashGuard
 
 
 @attrs.frozen
@@ -111,6 +114,7 @@
     def _run_attempts(self) -> None:
         if self._complete_without_engine():
             return
+        self.parts.crashes.check(self._trait)
         try:
             while not self._run_attempt():
                 self._raise_if_interrupted()
@@ -119,6 +123,18 @@
                 self.parts.meters.retries.add("drafts")
         finally:
             self.parts.dispatcher.finish(self.route.request_id)
+            self.parts.crashes.end(self._trait)
+
+    @property
+    def _trait(self) -> str:
+        """Return what the request shares with its repeats."""
+        return quarantine.request_trait(
+            self.route.customer,
+            b"POST",
+            "",
+            self.draft.endpoint.value.encode(),
+            self.draft.body_hash.encode(),
+        )
 
     def _may_retry(self) -> bool:
         """Return whether another attempt is allowed.
@@ -130,6 +146,8 @@
         """
         if self._cut_attempts >= MAX_CUT_ATTEMPTS:
             return False
+        if self.parts.crashes.is_suspect(self._trait):
+            return False
         if self._positions.sent > self.start.index:
             return True
         return self.parts.dispatcher.may_retry()
@@ -153,9 +171,12 @@
             attempt = self._engine_attempt(grant, spans.target)
             self._relay(attempt, number)
             result = _Result.OK
+            self.parts.crashes.record_answer(self._trait)
             return True
         except _engine.AttemptFailedError as failure:
             result = self._record_failure(failure)
+            if failure.is_cut and result is _Result.FAILED:
+                self._record_cut(attempt)
             if failure.final:
                 raise self._final_error() from failure
             return False
@@ -325,6 +346,11 @@
             return _Result.CANCELLED
         return failure.result
 
+    def _record_cut(self, attempt: _engine.EngineAttempt | None) -> None:
+        """Record a crash unless the engine had begun to answer."""
+        if attempt is not None and not attempt.tokens:
+            self.parts.crashes.record_crash(self._trait)
+
     def _end_attempt(
         self,
         grant: interfaces.Grant,
--- a/packages/node/tests/test_callers_services.py
+++ b/packages/node/tests/test_callers_services.py
@@ -226,6 +226,37 @@
         self.assert_problem("target_failed", "unknown", response)
         self.assertEqual(3, sum(self.request_counts()))
 
+    def test_repeat_of_a_call_that_ended_replicas_is_refused(self):
+        """Its caller, or another one of the customer, sends it again."""
+        self.start(*(callers_fakes.Service() for _ in range(9)))
+        for service in self.services:
+            service.drop = True
+        self.call("GET", "/stock/7")
+        for _ in range(4):
+            response = self.call("GET", "/stock/7")
+            self.assert_problem("prompt_blocked", "not_run", response)
+        self.assertEqual(3, sum(self.request_counts()))
+
+    def test_call_that_runs_once_is_refused_after_three_replicas(self):
+        """Each arrival ends one replica, as it is never sent again."""
+        self.start(callers_fakes.Service())
+        self.services[0].drop = True
+        for _ in range(3):
+            response = self.call("POST", "/bookings", b"same")
+            self.assert_problem("target_failed", "unknown", response)
+        response = self.call("POST", "/bookings", b"same")
+        self.assert_problem("prompt_blocked", "not_run", response)
+        self.services[0].drop = False
+        self.assertEqual(200, self.call("POST", "/bookings", b"other")[0])
+        self.assertEqual([4], self.request_counts())
+
+    def test_answer_in_between_clears_a_call(self):
+        self.start(callers_fakes.Service())
+        for drop in (True, True, False, True, True):
+            self.services[0].drop = drop
+            self.call("POST", "/bookings", b"same")
+        self.assertEqual([5], self.request_counts())
+
     def test_last_response_is_passed_on_when_the_budget_is_spent(self):
         self.start(callers_fakes.Service(), callers_fakes.Service(), retries=0)
         self.services[0].status = 503
--- a/packages/node/tests/test_callers_streams.py
+++ b/packages/node/tests/test_callers_streams.py
@@ -195,6 +195,14 @@
         self.assertEqual(3, len(self.front.router.granted))
         self.assertTrue(self.front.router.wait_all_released())
 
+    def test_repeat_of_a_prompt_that_ended_engines_is_refused(self):
+        """Each engine ends its connection before the first token."""
+        self.start(*(callers_fakes.Engine(break_after=0) for _ in range(8)))
+        self.assert_problem("target_failed", document())
+        problem = self.assert_problem("prompt_blocked", document())
+        self.assertEqual("not_run", problem["outcome"])
+        self.assertEqual(3, len(self.front.router.granted))
+
     def test_rejection_by_all_targets_has_outcome_not_run(self):
         self.start(callers_fakes.Engine(status=503))
         problem = self.assert_problem("overloaded", document())
