Keep requests held when another coordinator begins

Cause: the list of a coordinator that knows nothing yet was taken for knowledge.

Change: in the first 5 s of a term a request stays held whatever the new coordinator lists; by then all nodes have sent their evidence again. The list has the number of trials as well, and a node names it when it asks for one, so that a new coordinator goes on counting.

Evidence: test_next_holder_frees_nothing_that_it_does_not_know and test_trials_of_earlier_coordinators_count fail on the commit before.

--- a/packages/core/src/quetzalward_core/coordination/__init__.py
+++ b/packages/core/src/quetzalward_core/coordination/__init__.py
@@ -37,6 +37,7 @@
 from quetzalward_core.coordination._quarantine_messages import BlockRow
 from quetzalward_core.coordination._quarantine_messages import CrashReport
 from quetzalward_core.coordination._quarantine_messages import CrashRow
+from quetzalward_core.coordination._quarantine_messages import HoldRow
 from quetzalward_core.coordination._quarantine_messages import HoldView
 from quetzalward_core.coordination._quarantine_messages import QuarantineView
 from quetzalward_core.coordination._quarantine_messages import SoundRow
@@ -81,6 +82,7 @@
     "PeerClock",
     "PermitGrant",
     "PermitRow",
+    "HoldRow",
     "HoldView",
     "QuarantineView",
     "RELAY_CHECK_INTERVAL_MS",
--- a/packages/core/src/quetzalward_core/coordination/_quarantine_messages.py
+++ b/packages/core/src/quetzalward_core/coordination/_quarantine_messages.py
@@ -61,13 +61,21 @@
     blocks: tuple[BlockRow, ...]
 
 
+@attrs.frozen
+class HoldRow:
+    """A request that is held, and how many trials were granted."""
+
+    request: str
+    trials: int
+
+
 @attrs.frozen
 class HoldView:
     """Message from the coordinator to every node: requests sent as trials."""
 
     node: str
     term: int
-    requests: tuple[str, ...]
+    holds: tuple[HoldRow, ...]
 
 
 @attrs.frozen
@@ -77,6 +85,8 @@
     node: str
     term: int
     request: str
+    # As this node knows from any coordinator.
+    trials: int
 
 
 @attrs.frozen
@@ -90,14 +100,18 @@
 
 def hold_view(row: list[typing.Any]) -> HoldView:
     """Return the decoded message."""
-    node, term, requests = row
-    return HoldView(str(node), int(term), _traits(requests))
+    node, term, holds = row
+    return HoldView(
+        str(node),
+        int(term),
+        tuple(HoldRow(str(request), int(trials)) for request, trials in holds),
+    )
 
 
 def trial_request(row: list[typing.Any]) -> TrialRequest:
     """Return the decoded message."""
-    node, term, request = row
-    return TrialRequest(str(node), int(term), str(request))
+    node, term, request, trials = row
+    return TrialRequest(str(node), int(term), str(request), int(trials))
 
 
 def trial_grant(row: list[typing.Any]) -> TrialGrant:
--- a/packages/core/src/quetzalward_core/quarantine/_correlator.py
+++ b/packages/core/src/quetzalward_core/quarantine/_correlator.py
@@ -203,13 +203,18 @@
         return self._crashes
 
     @property
-    def held(self) -> tuple[str, ...]:
-        """Return the requests that are sent as trials only."""
-        return self._holds.requests
+    def held(self) -> dict[str, int]:
+        """Return the requests that are sent as trials only, and how many."""
+        return self._holds.trials_by_request
 
-    def grant_trial(self, request: str, now_ms: clock.Millis) -> bool:
-        """Let a node send a request that is held, once."""
-        return self._holds.grant(request, self._crashes, now_ms)
+    def grant_trial(
+        self, request: str, now_ms: clock.Millis, trials_before: int = 0
+    ) -> bool:
+        """Let a node send a request that is held, once.
+
+        `trials_before` counts the trials that any coordinator granted.
+        """
+        return self._holds.grant(request, trials_before, self._crashes, now_ms)
 
     def find(
         self, now_ms: clock.Millis, answer_ms: float
--- a/packages/core/src/quetzalward_core/quarantine/_holds.py
+++ b/packages/core/src/quetzalward_core/quarantine/_holds.py
@@ -101,9 +101,12 @@
         self._parallel = 1
 
     @property
-    def requests(self) -> tuple[str, ...]:
-        """Return the requests that are held."""
-        return tuple(self._held_by_request)
+    def trials_by_request(self) -> dict[str, int]:
+        """Return the requests that are held, and the trials of each."""
+        return {
+            request: held.trials
+            for request, held in self._held_by_request.items()
+        }
 
     def update(
         self,
@@ -175,16 +178,21 @@
     def grant(
         self,
         request: str,
+        trials_before: int,
         crashes: typing.Collection[_evidence.Crash],
         now_ms: clock.Millis,
     ) -> bool:
         """Grant a trial of a request if that is possible now.
 
+        `trials_before` counts those of earlier coordinators as well, and
         `crashes` are those of all requests.
         """
         held = self._held_by_request.get(request)
         if held is None or held.trial is not None:
             return False
+        if trials_before > held.trials:
+            held.trials = trials_before
+            held.noisy_trials = min(trials_before, MAX_NOISY_TRIALS)
         service = held.service
         trials = sum(
             other.trial is not None and other.service == service
--- a/packages/core/tests/coordination/test_coordination.py
+++ b/packages/core/tests/coordination/test_coordination.py
@@ -214,8 +214,10 @@
                 ("p",),
                 (coordination.BlockRow(("p", "q"), True),),
             ),
-            coordination.HoldView("a", 3, ("request:1", "request:2")),
-            coordination.TrialRequest("b", 3, "request:1"),
+            coordination.HoldView(
+                "a", 3, (coordination.HoldRow("request:1", 2),)
+            ),
+            coordination.TrialRequest("b", 3, "request:1", 2),
             coordination.TrialGrant("a", 3, "request:1"),
             *builders.limit_messages(),
         ):
@@ -279,8 +281,8 @@
         rows = [
             ["crashes", "b", 3, [["r", "t", ["p"], 2, 1]], [], [], []],
             ["quarantine", "a", 3, ["p"], [[["p"], True]]],
-            ["holds", "a", 3, ["p"]],
-            ["trial-request", "a", 3, "p"],
+            ["holds", "a", 3, [["p", 1]]],
+            ["trial-request", "a", 3, "p", 1],
             ["trial", "a", 3, "p"],
         ]
         for row in rows:
--- a/packages/core/tests/quarantine/test_quarantine.py
+++ b/packages/core/tests/quarantine/test_quarantine.py
@@ -196,15 +196,16 @@
 
     def test_request_is_held_from_the_third_target_on(self) -> None:
         """Its parts are not blamed, since other requests have them."""
-        for count, held in ((2, ()), (3, (self.SAME,)), (9, (self.SAME,))):
-            self.assertEqual(held, self.held(*self.row(count, "p")).held)
+        for count, held in ((2, set()), (3, {self.SAME}), (9, {self.SAME})):
+            correlator = self.held(*self.row(count, "p"))
+            self.assertEqual(held, set(correlator.held))
 
     def test_answer_in_between_frees_the_request(self) -> None:
         """It did not crash the target that answered."""
         correlator = self.held(*self.row(4))
         correlator.add_sound(self.SAME, 9_350)
         self.assertIsNone(find(correlator))
-        self.assertEqual((), correlator.held)
+        self.assertEqual({}, correlator.held)
 
     def test_only_one_trial_is_made_at_a_time(self) -> None:
         """Requests come at all nodes at once."""
@@ -253,7 +254,7 @@
         correlator.add_crash(builders.crash(NOW_MS + 110, "request:other"))
         later_ms = NOW_MS + 600
         self.assertIsNone(correlator.find(later_ms, builders.ANSWER_MS))
-        self.assertEqual((self.SAME,), correlator.held)
+        self.assertEqual([self.SAME], list(correlator.held))
 
     def test_answer_in_a_trial_frees_the_request(self) -> None:
         """A sound request goes on once the outage is over."""
@@ -261,7 +262,7 @@
         self.assertTrue(correlator.grant_trial(self.SAME, NOW_MS))
         correlator.add_sound(self.SAME, NOW_MS + 100)
         correlator.find(NOW_MS + 600, builders.ANSWER_MS)
-        self.assertEqual((), correlator.held)
+        self.assertEqual({}, correlator.held)
 
     def test_three_trials_at_most(self) -> None:
         """Whatever becomes of them, no more requests reach targets."""
@@ -276,6 +277,14 @@
         self.assertLessEqual(granted, 3)
         self.assertGreater(granted, 0)
 
+    def test_trials_of_earlier_coordinators_count(self) -> None:
+        """The next one may have known nothing of them."""
+        for before, is_granted in ((2, True), (3, False)):
+            correlator = self.held(*self.row(3))
+            self.assertEqual(
+                is_granted, correlator.grant_trial(self.SAME, NOW_MS, before)
+            )
+
     def test_part_that_crashes_under_many_requests_is_found(self) -> None:
         """Also if each of them came again."""
         crashes = [
@@ -296,7 +305,7 @@
         for n in range(2_000):
             correlator.add_crash(builders.crash(9_700, f"request:{n}"))
         self.assertIsNone(find(correlator))
-        self.assertEqual((self.SAME,), correlator.held)
+        self.assertEqual([self.SAME], list(correlator.held))
 
 
 class RequestGuardTest(unittest.TestCase):
--- a/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
+++ b/packages/gateway/src/quetzalward_gateway/_coordinator_task.py
@@ -151,9 +151,7 @@
         now_ms: clock.Millis,
     ) -> None:
         """Grant a trial as the holder, if that is possible now."""
-        if not self._quarantine.grant_trial(
-            request.request, request.node, now_ms
-        ):
+        if not self._quarantine.grant_trial(request, now_ms):
             return
         if request.node == self._settings.node:
             self._runtime.state.trials.grant(request.request)
@@ -272,7 +270,7 @@
         if isinstance(message, coordination.QuarantineView):
             self._quarantine.apply_view(message)
         elif isinstance(message, coordination.HoldView):
-            self._quarantine.apply_holds(message)
+            self._quarantine.apply_holds(message, now_ms)
         elif isinstance(message, coordination.TrialGrant):
             self._runtime.state.trials.grant(message.request)
         elif isinstance(message, coordination.LimitList):
--- a/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
+++ b/packages/gateway/src/quetzalward_gateway/_quarantine_control.py
@@ -28,6 +28,9 @@
 # Time, beyond a message of the holder, to report settled answers.
 ANSWER_MARGIN_MS = 100
 CONCLUDE_INTERVAL_MS = 100
+# Time for which what was held stays so in a new term: all nodes send their
+# evidence again and answer about the suspects.
+HOLDS_KEPT_MS = 5_000
 EXPIRY_INTERVAL_MS = 1_000
 # Key prefix of the blocks in the topic of the election, which the holder reads
 # each second anyway.
@@ -189,14 +192,20 @@
                 self._runtime.log.event("prompt_blocked", parts=sorted(traits))
         self._holder_blocks = frozenset(listed)
 
-    def apply_holds(self, view: coordination.HoldView) -> None:
+    def apply_holds(
+        self, view: coordination.HoldView, now_ms: clock.Millis
+    ) -> None:
         """Apply the holder's list; its term was checked."""
-        self._apply_holds(frozenset(view.requests))
+        self._apply_holds(
+            {row.request: row.trials for row in view.holds}, now_ms
+        )
 
     def trial_requests(self, term: int) -> list[coordination.TrialRequest]:
         """Return what to ask of the holder."""
         return [
-            coordination.TrialRequest(self._node, term, request)
+            coordination.TrialRequest(
+                self._node, term, request, self._trials.held.get(request, 0)
+            )
             for request in sorted(self._trials.waiting)
         ]
 
@@ -240,13 +249,17 @@
                 self._add(frozenset(traits), now_ms)
 
     def grant_trial(
-        self, request: str, node: str, now_ms: clock.Millis
+        self, message: coordination.TrialRequest, now_ms: clock.Millis
     ) -> bool:
         """Let a node send a request that is held, once."""
         correlator = self._correlator
-        if correlator is None or not correlator.grant_trial(request, now_ms):
+        if correlator is None or not correlator.grant_trial(
+            message.request, now_ms, message.trials
+        ):
             return False
-        self._runtime.log.event("trial_granted", parts=[request], to=node)
+        self._runtime.log.event(
+            "trial_granted", parts=[message.request], to=message.node
+        )
         return True
 
     def run(self, now_ms: clock.Millis, message_interval_ms: float) -> None:
@@ -272,18 +285,29 @@
         traits = correlator.find(now_ms, answer_ms)
         if traits is not None:
             self._conclude(correlator, traits, now_ms)
-        held = frozenset(correlator.held)
-        if held != self._trials.held:
-            self._apply_holds(held)
+        if self._apply_holds(correlator.held, now_ms):
             self._holds_changed_ms = now_ms
             self._is_urgent = True
 
-    def _apply_holds(self, held: frozenset[str]) -> None:
-        for request in sorted(held - self._trials.held):
+    def _apply_holds(
+        self, listed: dict[str, int], now_ms: clock.Millis
+    ) -> bool:
+        """Apply the coordinator's list; true if that changes anything.
+
+        A new coordinator does not know yet what the one before had held.
+        """
+        known = self._trials.held
+        held = dict(listed)
+        if now_ms - self._term_began_ms <= HOLDS_KEPT_MS:
+            held = {**known, **held}
+        for request in sorted(held.keys() - known.keys()):
             self._runtime.log.event("request_held", parts=[request])
-        for request in sorted(self._trials.held - held):
+        for request in sorted(known.keys() - held.keys()):
             self._runtime.log.event("request_freed", parts=[request])
+        for request, trials in held.items():
+            held[request] = max(trials, known.get(request, 0))
         self._trials.held = held
+        return held != known
 
     def _conclude(
         self,
@@ -357,7 +381,12 @@
                 return None
         self._holds_sent_ms = now_ms
         return coordination.HoldView(
-            self._node, term, tuple(sorted(self._trials.held))
+            self._node,
+            term,
+            tuple(
+                coordination.HoldRow(request, trials)
+                for request, trials in sorted(self._trials.held.items())
+            ),
         )
 
     @property
--- a/packages/gateway/src/quetzalward_gateway/_trials.py
+++ b/packages/gateway/src/quetzalward_gateway/_trials.py
@@ -7,7 +7,8 @@
 class Trials:
     """Requests that are held, and those that wait here for their trial."""
 
-    held: frozenset[str] = frozenset()
+    # With the trials that any coordinator granted.
+    held: dict[str, int] = attrs.field(factory=dict)
     waiting: set[str] = attrs.field(factory=set)
     _granted: set[str] = attrs.field(factory=set)
 
--- a/packages/gateway/tests/crash_simulation.py
+++ b/packages/gateway/tests/crash_simulation.py
@@ -291,7 +291,7 @@
         if self._holder is None:
             return
         control = self._nodes[self._holder].control
-        if control.grant_trial(ask.request, ask.node, self._now_ms):
+        if control.grant_trial(ask, self._now_ms):
             self._deliver(lambda: node.state.trials.grant(ask.request))
 
     def _try(self, request: _Request, is_trial: bool = False) -> None:
@@ -481,7 +481,11 @@
         if holds is not None:
             for index, node in enumerate(self._nodes):
                 if index != self._holder:
-                    self._deliver(lambda n=node: n.control.apply_holds(holds))
+                    self._deliver(
+                        lambda n=node: n.control.apply_holds(
+                            holds, self._now_ms
+                        )
+                    )
         view = holder.control.view_due(self._term, self._now_ms)
         if view is None:
             return
--- a/packages/gateway/tests/test_quarantine_control.py
+++ b/packages/gateway/tests/test_quarantine_control.py
@@ -250,6 +250,24 @@
         assert write is not None
         self.assertTrue(write[0].startswith(_quarantine_control.KEY_PREFIX))
 
+    def test_next_holder_frees_nothing_that_it_does_not_know(self) -> None:
+        """One that has just started has no evidence yet."""
+        held = coordination.HoldView(
+            "h", 1, (coordination.HoldRow("request:1", 2),)
+        )
+        self.first.control.apply_holds(held, self.now_ms)
+        self.first.control.follow_term(2, self.now_ms + 100)
+        none = coordination.HoldView("b", 2, ())
+        for after_ms, is_held in ((200, True), (4_000, True), (9_000, False)):
+            self.first.control.apply_holds(none, self.now_ms + after_ms)
+            state = self.first.runtime.state
+            self.assertEqual(is_held, "request:1" in state.trials.held)
+        self.second.control.apply_holds(held, self.now_ms)
+        self.second.control.follow_term(2, self.now_ms + 100)
+        self.second.control.begin_term(self.now_ms + 100)
+        self.second.control.run(self.now_ms + 300, INTERVAL_MS)
+        self.assertIn("request:1", self.second.runtime.state.trials.held)
+
     def test_dropped_block_is_removed_from_the_store(self) -> None:
         """The store keeps no more blocks than the nodes."""
         for n in range(quarantine.MAX_BLOCKS + 1):
