Blame no shared part for the crashes of repeated requests

Cause: requests that were cut off beside the crashing ones added targets to the part's row, so that no longer all of its targets had a repeated request.

Change: a part that was in answered requests before is left alone while up to three repeated requests explain half of its targets. A part without any answer still needs all of them explained; parts that crash targets are such.

--- a/packages/core/src/quetzalward_core/quarantine/_correlator.py
+++ b/packages/core/src/quetzalward_core/quarantine/_correlator.py
@@ -86,27 +86,40 @@
             and len({c.request for c in self.crashes}) >= MIN_REQUESTS
         )
 
-    def is_explained_by_repeats(self, sound_ms_by_trait: _SoundTable) -> bool:
+    def is_explained_by_repeats(
+        self, sound_ms_by_trait: _SoundTable, has_settled: bool
+    ) -> bool:
         """Tell whether a few requests that came again explain the crashes.
 
-        One that was answered since is no explanation.
+        A request that was answered since is no explanation. If the part was
+        in sound requests before, it is enough that they explain half of the
+        targets.
         """
         arrivals_by_trait: dict[str, set[str]] = {}
-        traits_by_target: dict[str, set[str]] = {}
+        targets_by_trait: dict[str, set[str]] = {}
         for crash in self.crashes:
-            known = traits_by_target.setdefault(crash.target, set())
             for trait in crash.repeats:
                 sound_ms = sound_ms_by_trait.get(trait)
                 if sound_ms is None or sound_ms <= crash.at_ms:
-                    known.add(trait)
+                    targets = targets_by_trait.setdefault(trait, set())
+                    targets.add(crash.target)
                     arrivals = arrivals_by_trait.setdefault(trait, set())
                     arrivals.add(crash.request)
-        if set.intersection(*traits_by_target.values()):
+        all_targets = self.targets()
+        if all_targets in targets_by_trait.values():
             return True
-        repeated = {t for t, ids in arrivals_by_trait.items() if len(ids) > 1}
-        return len(repeated) <= MAX_REPEATED_REQUESTS and all(
-            traits & repeated for traits in traits_by_target.values()
-        )
+        repeated = [
+            targets
+            for trait, targets in targets_by_trait.items()
+            if len(arrivals_by_trait[trait]) > 1
+        ]
+        repeated.sort(key=len, reverse=True)
+        if len(repeated) > MAX_REPEATED_REQUESTS and not has_settled:
+            return False
+        explained = set().union(*repeated[:MAX_REPEATED_REQUESTS])
+        if has_settled:
+            return 2 * len(explained) >= len(all_targets)
+        return explained == all_targets
 
     def common_parts(self) -> set[str]:
         """Return the parts that all crashed requests had."""
@@ -264,11 +277,11 @@
         for part, run in run_by_trait.items():
             if _traits.is_request(part):
                 continue
+            has_settled = part in self._sound_ms_by_trait
             if not run.is_repeated() or run.is_explained_by_repeats(
-                self._sound_ms_by_trait
+                self._sound_ms_by_trait, has_settled
             ):
                 continue
-            has_settled = part in self._sound_ms_by_trait
             chance_log = self._chance_log(run, now_ms)
             if chance_log <= self._max_chance_log(run, has_settled, now_ms):
                 found.append(
