Keep streams to the attempts of their route unless their target has ended

Cause: any broken connection was taken for the end of a target, and a stream was then executed twice whatever its route allows.

Change: beyond the route's number a stream runs once more only if its target takes no new connection.

Evidence: on a stream broken off by a target that goes on was sent to a second one with max_attempts of 1; MaxAttemptsTest asks for the opposite, and that a target which has ended does not count.

--- a/packages/gateway/src/quetzalward_gateway/_streaming.py
+++ b/packages/gateway/src/quetzalward_gateway/_streaming.py
@@ -6,9 +6,11 @@
 
 from quetzalward_core import clock
 from quetzalward_core import errors
+from quetzalward_core import fleet
 from quetzalward_core import placing
 from quetzalward_core import quarantine
 from quetzalward_gateway import _attempts
+from quetzalward_gateway import _channel
 from quetzalward_gateway import _events
 from quetzalward_gateway import _permit_wait
 from quetzalward_gateway import _places
@@ -25,8 +27,8 @@
 # Attempts that the target did not execute after which another one is still
 # made; they do not count towards the maximum of the route.
 MAX_UNEXECUTED_ATTEMPTS = 2
-# A stream that stalled or broke because a member was lost may be executed this
-# many times in total, even if the route allows a single attempt.
+# A stream whose target has ended may be executed this many times in total,
+# also if the route allows a single attempt.
 MAX_EXECUTIONS_ON_LOSS = 2
 # No attempt is made with less time left, as a target could not use it.
 MIN_REMAINING_MS = 20
@@ -110,7 +112,7 @@
             last = outcome.attempt
             if last.result is _Result.COMPLETE:
                 return
-            if not self._may_retry(last):
+            if not await self._may_retry(last, place.target):
                 break
             if outcome.crash_weight == quarantine.BEGUN_WEIGHT:
                 await asyncio.sleep(EVIDENCE_WAIT_MS / clock.MILLIS_PER_SECOND)
@@ -243,8 +245,12 @@
         elif last.result is not _Result.UNREACHABLE:
             self._executed_attempts += 1
 
-    def _may_retry(self, last: _Attempt) -> bool:
-        """Tell whether another attempt may follow a failed one."""
+    async def _may_retry(self, last: _Attempt, target: fleet.Target) -> bool:
+        """Tell whether another attempt may follow a failed one.
+
+        An execution at a target that has ended does not count towards the
+        maximum of the route.
+        """
         if last.result in (_Result.TIMEOUT, _Result.GAP):
             return False
         if last.result is _Result.UNREACHABLE:
@@ -253,10 +259,13 @@
             return self._unexecuted_attempts <= MAX_UNEXECUTED_ATTEMPTS
         if not self._call.route.repeatable:
             return False
-        max_executions = self._call.route.max_attempts
-        if last.result is not _Result.FAILED:
-            max_executions = max(max_executions, MAX_EXECUTIONS_ON_LOSS)
-        return self._executed_attempts < max_executions
+        if self._executed_attempts < self._call.route.max_attempts:
+            return True
+        return (
+            last.is_cut
+            and self._executed_attempts < MAX_EXECUTIONS_ON_LOSS
+            and await _has_ended(target)
+        )
 
     # Completion and failure.
 
@@ -369,3 +378,15 @@
         )
         self._call.runtime.metrics.count("aborted")
         self._call.responder.abort()
+
+
+async def _has_ended(target: fleet.Target) -> bool:
+    """Tell whether a target takes no more connections."""
+    try:
+        channel = await _channel.connect(
+            target.address, _attempts.CONNECT_TIMEOUT_MS
+        )
+    except (_channel.ChannelReset, _channel.ChannelTimeout):
+        return True
+    channel.abort()
+    return False
--- a/packages/gateway/tests/test_silent_targets.py
+++ b/packages/gateway/tests/test_silent_targets.py
@@ -97,6 +97,42 @@
     return call
 
 
+class MaxAttemptsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against more executions than a route allows."""
+
+    async def run_twice(self, ends: bool, max_attempts: int) -> bool:
+        """Tell whether a stream that breaks off is sent to a second target.
+
+        With `ends`, the first target ends with its connection.
+        """
+        first = hostile_targets.broken_off(HEAD + chunks(1, 2), True)
+        second = scripted((HEAD + chunks(3, 4) + END, 0))
+        with mock.patch.object(
+            _streaming, "_has_ended", mock.AsyncMock(return_value=ends)
+        ):
+            call = await stream([first, second], max_attempts)
+        self.assertEqual(call.responder.aborted, not second.closed.is_set())
+        return second.closed.is_set()
+
+    async def test_target_that_goes_on_counts(self) -> None:
+        """It broke off one answer, and the route allows one attempt."""
+        self.assertFalse(await self.run_twice(False, 1))
+        self.assertTrue(await self.run_twice(False, 2))
+
+    async def test_target_that_has_ended_does_not_count(self) -> None:
+        """The stream goes on at another one."""
+        self.assertTrue(await self.run_twice(True, 1))
+
+    async def test_end_is_told_by_a_new_connection(self) -> None:
+        """A broken connection alone does not show it."""
+        target = hostile_targets.broken_off(HEAD, True)
+        async with target.running():
+            entry = place(0, target.address).group.head
+            self.assertFalse(await _streaming._has_ended(entry))
+        await asyncio.sleep(0)
+        self.assertTrue(await _streaming._has_ended(entry))
+
+
 class SilentStreamTest(unittest.IsolatedAsyncioTestCase):
     """Guards against callers cut off because a sound target was silent."""
 
