--- a/packages/gateway/src/quetzalward_gateway/_crash_guard.py
+++ b/packages/gateway/src/quetzalward_gateway/_crash_guard.py
@@ -60,10 +60,15 @@
             )
         return self._traits
 
+    @property
+    def _request_trait(self) -> str:
+        """Return the trait that only repeats of the request have."""
+        return self.traits[-1]
+
     @property
     def _is_held(self) -> bool:
         trials = self._state.trials
-        return bool(trials.held) and self.traits[-1] in trials.held
+        return bool(trials.held) and self._request_trait in trials.held
 
     async def may_send(self, remaining_ms: clock.Millis) -> bool:
         """Tell whether the request may be sent to a target now, once.
@@ -72,7 +77,7 @@
         """
         if not self._is_held:
             return not self.is_blocked
-        trials, request = self._state.trials, self.traits[-1]
+        trials, request = self._state.trials, self._request_trait
         if request in trials.waiting:
             return False
         end_ms = self._time.now_ms() + min(TRIAL_WAIT_MS, remaining_ms)
