--- a/packages/core/src/quetzalward_core/quarantine/_guard.py
+++ b/packages/core/src/quetzalward_core/quarantine/_guard.py
@@ -1,4 +1,4 @@
-"""Requests that crashed targets at one node, which tells no other node."""
+"""Requests that crashed targets, as a node without peers records them."""
 
 import collections
 
--- a/packages/core/src/quetzalward_core/quarantine/_holds.py
+++ b/packages/core/src/quetzalward_core/quarantine/_holds.py
@@ -69,8 +69,8 @@
     ) -> None:
         """Add crashes, and drop those before a time.
 
-        Those that another request explains stay: it may have been at the same
-        targets, and a trial tells.
+        Those that another request explains stay: this one may be a cause as
+        well, which only a trial shows.
         """
         for crash in crashes:
             self.crash_by_target.setdefault(crash.target, crash)
--- a/packages/gateway/src/quetzalward_gateway/_crash_guard.py
+++ b/packages/gateway/src/quetzalward_gateway/_crash_guard.py
@@ -20,7 +20,7 @@
 
 
 class CrashGuard:
-    """Records what one request did to its targets, and tells of its like."""
+    """Records crashes under one request, and refuses it where needed."""
 
     def __init__(
         self,
@@ -39,7 +39,7 @@
         self._request = request
         self._raw = raw
         self._traits: tuple[str, ...] | None = None
-        # Tells the request from its repeats.
+        # Differs between repeats of the request.
         self._id = state.next_request_id(raw.received_ms)
 
     @property
@@ -124,8 +124,8 @@
     def record_crash(self, incarnation: str, weight: int) -> None:
         """Record that a target crashed before its answer had settled.
 
-        `incarnation` names one life of the target; `weight` tells how likely
-        this request is the cause.
+        `incarnation` identifies the target since its start; `weight` says how
+        likely this request is the cause.
         """
         self._state.evidence.record_crash(
             quarantine.Crash(
