--- a/packages/bench/src/quetzalward_bench/soak/_prompts.py
+++ b/packages/bench/src/quetzalward_bench/soak/_prompts.py
@@ -5,14 +5,12 @@
 
 import attrs
 
+from quetzalward_bench.soak import _crash_bounds
 from quetzalward_standins import platform
 
-# Bounds that the platform states for prompts under which targets end: with
-# which number of ends the time begins in which nodes must learn of a part, the
-# time, and how many more requests with the part may reach targets then.
+# Number of ends with which the time begins in which nodes must learn of a
+# part.
 LEARNED_CRASHES = 5
-CONTACT_S = 3.0
-MAX_LATER_REQUESTS = 3
 # Parts that sound requests share.
 _SOUND_PARTS = 8
 # Share of requests that have a crashing part while there is one.
@@ -65,27 +63,11 @@
     undisturbed_since_s: float,
 ) -> list[str]:
     """Return each part that was sent to targets too often after crashes."""
-    crash_times_by_part: dict[str, list[float]] = {}
-    for crash in targets.crashes:
-        crash_times_by_part.setdefault(crash.cause, []).append(crash.at_s)
-    errors = []
-    for part, times_s in crash_times_by_part.items():
-        if len(times_s) < LEARNED_CRASHES:
-            continue
-        begin_s = max(
-            times_s[LEARNED_CRASHES - 1] + CONTACT_S, undisturbed_since_s
-        )
-        later = [
-            execution
-            for execution in targets.executions
-            if execution.at_s > begin_s
-            and execution.attempt_id in prompts_by_attempt
-            and prompts_by_attempt[execution.attempt_id].crashing_part == part
-        ]
-        if len(later) > MAX_LATER_REQUESTS:
-            errors.append(
-                f"{part}: {len(later)} requests reached targets later than "
-                f"{CONTACT_S} s after {LEARNED_CRASHES} targets had ended "
-                f"under it; {len(times_s)} ended in all"
-            )
-    return errors
+    cause_by_attempt = {
+        attempt_id: prompt.crashing_part
+        for attempt_id, prompt in prompts_by_attempt.items()
+        if prompt.crashing_part is not None
+    }
+    return _crash_bounds.check(
+        cause_by_attempt, LEARNED_CRASHES, targets, undisturbed_since_s
+    )
--- a/packages/bench/src/quetzalward_bench/soak/_repeats.py
+++ b/packages/bench/src/quetzalward_bench/soak/_repeats.py
@@ -5,14 +5,12 @@
 
 import attrs
 
+from quetzalward_bench.soak import _crash_bounds
 from quetzalward_standins import platform
 
-# Bounds that the platform states: with which number of ends the time begins in
-# which nodes must learn of a request, the time, and how many more of its
-# repeats may reach targets then.
+# Number of ends with which the time begins in which nodes must learn of a
+# request.
 LEARNED_CRASHES = 3
-CONTACT_S = 3.0
-MAX_LATER_REQUESTS = 3
 # Share of requests that are such a repeat while there is one.
 _CRASHING_SHARE = 0.05
 
@@ -57,28 +55,10 @@
     undisturbed_since_s: float,
 ) -> list[str]:
     """Return each request that was sent to targets too often after crashes."""
-    crash_times_by_body: dict[bytes, list[float]] = {}
-    for crash in targets.crashes:
-        body = body_by_attempt.get(crash.attempt_id)
-        if body is not None:
-            crash_times_by_body.setdefault(body, []).append(crash.at_s)
-    errors = []
-    for body, times_s in crash_times_by_body.items():
-        if len(times_s) < LEARNED_CRASHES:
-            continue
-        begin_s = max(
-            times_s[LEARNED_CRASHES - 1] + CONTACT_S, undisturbed_since_s
-        )
-        later = [
-            execution
-            for execution in targets.executions
-            if execution.at_s > begin_s
-            and body_by_attempt.get(execution.attempt_id) == body
-        ]
-        if len(later) > MAX_LATER_REQUESTS:
-            errors.append(
-                f"{body.decode()}: {len(later)} repeats reached targets later "
-                f"than {CONTACT_S} s after {LEARNED_CRASHES} targets had "
-                f"ended under it; {len(times_s)} ended in all"
-            )
-    return errors
+    cause_by_attempt = {
+        attempt_id: body.decode()
+        for attempt_id, body in body_by_attempt.items()
+    }
+    return _crash_bounds.check(
+        cause_by_attempt, LEARNED_CRASHES, targets, undisturbed_since_s
+    )
