Judge crashes in one pass, however long the prompts are

What callers saw (not on a bench): with 700 parts in a prompt and the log of crashes full, one cut-off stream held a node for 0.29 s, and so did each stream cut off with it; the coordinator needed 0.26 s for each conclusion, which it draws every 100 ms.

Cause: with all parts considered, `is_suspect` went through all crashes for each part, the table of held requests was made anew for each trait, and the trait of the whole request was sought again each time it was asked for.

Change: one pass over the crashes for all traits of a request; the table is read once; a crash keeps its request's trait.

--- a/packages/core/src/quetzalward_core/quarantine/_correlator.py
+++ b/packages/core/src/quetzalward_core/quarantine/_correlator.py
@@ -182,6 +182,7 @@
         if not self._has_changed:
             return self._suspects
         self._has_changed = False
+        held = self.held
         listed = [
             (
                 _traits.is_request(trait),
@@ -193,7 +194,7 @@
             if len(run.targets()) >= SUSPECT_TARGETS
             and (
                 now_ms - max(c.at_ms for c in run.crashes) <= SUSPECT_MS
-                or trait in self.held
+                or trait in held
             )
             and not self._is_blocked(trait)
         ]
@@ -245,11 +246,12 @@
         if not answered and not self.held:
             return None
         runs = self._runs()
+        considered = answered.union(self.held)
         causes = self._holds.update(
             {
                 trait: run.crashes
                 for trait, run in runs.items()
-                if trait in answered | set(self.held)
+                if trait in considered
                 and _traits.is_request(trait)
                 and not self._is_blocked(trait)
             },
--- a/packages/core/src/quetzalward_core/quarantine/_evidence.py
+++ b/packages/core/src/quetzalward_core/quarantine/_evidence.py
@@ -51,10 +51,11 @@
     node: str = ""
     # Empty in reports of nodes that do not say it.
     service: str = ""
+    # The trait of the whole request, if it is known.
+    repeats: frozenset[str] = attrs.field(init=False, eq=False)
 
-    @property
-    def repeats(self) -> frozenset[str]:
-        """Return the trait of the whole request, if it is known."""
+    @repeats.default
+    def _repeats(self) -> frozenset[str]:
         return frozenset(filter(_traits.is_request, self.traits))
 
 
@@ -180,15 +181,21 @@
                 counts[index] += 1
         return tuple(counts)
 
-    def is_suspect(self, trait: str, now_ms: clock.Millis) -> bool:
+    def has_suspect(
+        self, traits: typing.Iterable[str], now_ms: clock.Millis
+    ) -> bool:
         """Tell whether targets crashed under a trait and none answered."""
-        since_ms = now_ms - SUSPICION_MS
-        sound_ms = self.sound_ms(trait)
-        if sound_ms is not None:
-            since_ms = max(since_ms, sound_ms)
-        targets = {
-            crash.target
-            for crash in self._crashes
-            if crash.at_ms >= since_ms and trait in crash.traits
-        }
-        return len(targets) >= SUSPICION_CRASHES
+        sought = frozenset(traits)
+        targets_by_trait: dict[str, set[str]] = {}
+        for crash in self._crashes:
+            if crash.at_ms < now_ms - SUSPICION_MS:
+                continue
+            for trait in sought.intersection(crash.traits):
+                sound_ms = self.sound_ms(trait)
+                if sound_ms is None or crash.at_ms >= sound_ms:
+                    targets = targets_by_trait.setdefault(trait, set())
+                    targets.add(crash.target)
+        return any(
+            len(targets) >= SUSPICION_CRASHES
+            for targets in targets_by_trait.values()
+        )
--- a/packages/core/tests/quarantine/test_quarantine.py
+++ b/packages/core/tests/quarantine/test_quarantine.py
@@ -1,6 +1,8 @@
 """Tests of finding the part of a prompt under which targets crash."""
 
+import time
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies as st
@@ -207,6 +209,28 @@
         self.assertIsNone(find(correlator))
         self.assertEqual({}, correlator.held)
 
+    def test_many_held_requests_do_not_stop_the_coordinator(self) -> None:
+        """It concludes every 100 ms, beside its other work."""
+        correlator = quarantine.Correlator(quarantine.Quarantine())
+        for n in range(510):
+            traits = [f"{k:08x}" for k in range(n, n + 60)]
+            correlator.add_crash(
+                builders.crash(
+                    9_000 + 150 * (n % 3), *traits, f"request:{n // 3:016x}"
+                )
+            )
+        correlator.suspects(NOW_MS - builders.ANSWER_MS)
+        find(correlator)
+        self.assertGreater(len(correlator.held), 50)
+        with mock.patch.object(
+            quarantine.Correlator, "held", new_callable=mock.PropertyMock
+        ) as held:
+            held.return_value = {}
+            begin_s = time.process_time()
+            find(correlator)
+        self.assertLess(held.call_count, 10)
+        self.assertLess(time.process_time() - begin_s, 0.1)
+
     def test_only_one_trial_is_made_at_a_time(self) -> None:
         """Requests come at all nodes at once."""
         correlator = self.held(*self.row(3))
@@ -379,12 +403,25 @@
         """One crash is bad luck; a settled answer ends the suspicion."""
         log = quarantine.EvidenceLog()
         log.record_crash(builders.crash(1_000, "p"))
-        self.assertFalse(log.is_suspect("p", 1_100))
+        self.assertFalse(log.has_suspect(["p"], 1_100))
         log.record_crash(builders.crash(1_200, "p"))
-        self.assertTrue(log.is_suspect("p", 1_300))
-        self.assertFalse(log.is_suspect("p", 20_000))
+        self.assertTrue(log.has_suspect(["p"], 1_300))
+        self.assertFalse(log.has_suspect(["p"], 20_000))
         log.record_sound(["p"], 1_250)
-        self.assertFalse(log.is_suspect("p", 1_800))
+        self.assertFalse(log.has_suspect(["p"], 1_800))
+
+    def test_streams_cut_off_together_are_judged_in_time(self) -> None:
+        """Callers give up after a pause of 2 s, and one task judges all."""
+        log = quarantine.EvidenceLog()
+        parts = [f"{n:08x}" for n in range(700)]
+        for n in range(512):
+            log.record_crash(builders.crash(1_000 + n, *parts[:60]))
+        for part in parts:
+            log.record_sound([part], 2_000)
+        begin_s = time.process_time()
+        for _ in range(20):
+            self.assertFalse(log.has_suspect(parts, 2_000))
+        self.assertLess(time.process_time() - begin_s, 2.0)
 
     def test_memory_is_bounded(self) -> None:
         """Callers may send ever new parts, and many in one prompt."""
--- a/packages/gateway/src/quetzalward_gateway/_crash_guard.py
+++ b/packages/gateway/src/quetzalward_gateway/_crash_guard.py
@@ -115,11 +115,9 @@
         """Tell whether several targets crashed under it, or a part of it."""
         state, now_ms = self._state, self._time.now_ms()
         return any(
-            trait in state.quarantine.suspects
-            or trait in state.trials.held
-            or state.evidence.is_suspect(trait, now_ms)
+            trait in state.quarantine.suspects or trait in state.trials.held
             for trait in self.traits
-        )
+        ) or state.evidence.has_suspect(self.traits, now_ms)
 
     def record_crash(self, incarnation: str, weight: int) -> None:
         """Record that a target crashed before its answer had settled.
--- a/packages/gateway/tests/crash_simulation.py
+++ b/packages/gateway/tests/crash_simulation.py
@@ -432,13 +432,11 @@
 
     def _retry(self, request: _Request) -> None:
         state = self._nodes[request.node].state
-        for trait in request.traits:
-            if trait in state.quarantine.suspects:
-                self._fail(request)
-                return
-            if state.evidence.is_suspect(trait, self._now_ms):
-                self._fail(request)
-                return
+        if not state.quarantine.suspects.isdisjoint(
+            request.traits
+        ) or state.evidence.has_suspect(request.traits, self._now_ms):
+            self._fail(request)
+            return
         self._try(request)
 
     # Messages.
